Add listen.advertise_ip

Cause: tests of cuts and silent connections need a forwarder between nodes, and a VM behind address translation has an address that it cannot listen on.

--- a/src/settings.cc
+++ b/src/settings.cc
@@ -72,6 +72,8 @@
       GUAVATRAIL_TEXT(node, region, true, name, "Region of the VM."),
       GUAVATRAIL_TEXT(node, data_centre, true, name, "Data centre of the VM."),
       GUAVATRAIL_TEXT(listen, ip, true, ip, "Address on which all ports listen."),
+      GUAVATRAIL_TEXT(listen, advertise_ip, false, ip,
+                      "Address told to other nodes; when absent, listen.ip."),
       GUAVATRAIL_INTEGER(listen, caller_port, true, 1, kMaxPort, "HTTP port for callers."),
       GUAVATRAIL_INTEGER(listen, peer_port, true, 1, kMaxPort, "HTTP port for calls from nodes."),
       GUAVATRAIL_INTEGER(listen, control_port, true, 1, kMaxPort, "ZeroMQ port for control."),
--- a/src/settings.h
+++ b/src/settings.h
@@ -18,6 +18,9 @@
 
 struct ListenSettings {
   std::string ip;
+  // Address told to other nodes; empty: ip. Differs when the VM is reached through a translated
+  // address. Outgoing connections to other nodes start from `ip`.
+  std::string advertise_ip;
   int64_t caller_port = 0;
   int64_t peer_port = 0;
   int64_t control_port = 0;
