--- /dev/null
+++ b/apps/guavatraild.cc
@@ -0,0 +1,105 @@
+// The node: one process beside each backend server.
+#include <glog/logging.h>
+#include <sodium.h>
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "event_loop.h"
+#include "node.h"
+#include "settings.h"
+
+namespace {
+
+constexpr int kExitDone = 0;
+constexpr int kExitRefused = 1;
+constexpr int kExitUsage = 2;
+
+struct Arguments {
+  std::string settings_file;
+  bool check_only = false;
+  bool print_reference = false;
+};
+
+// Returns an exit code when the process should end.
+int ParseArguments(int argc, char** argv, Arguments& arguments, bool& end) {
+  TCLAP::CmdLine parser("Runs one guavatrail node beside a backend server.", ' ', "0.1.0");
+  parser.setExceptionHandling(false);
+  TCLAP::ValueArg<std::string> file("s", "settings", "Settings file (TOML)", false, "", "FILE",
+                                    parser);
+  TCLAP::SwitchArg check("c", "check", "Check the settings and exit", parser);
+  TCLAP::SwitchArg reference("", "settings-reference", "Print the reference page of all settings",
+                             parser);
+  end = true;
+  try {
+    parser.parse(argc, argv);
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "guavatraild: " << error.argId() << ": " << error.error() << "\n";
+    return kExitUsage;
+  }
+  arguments = {file.getValue(), check.getValue(), reference.getValue()};
+  if (arguments.settings_file.empty() && !arguments.print_reference) {
+    std::cerr << "guavatraild: --settings FILE is required\n";
+    return kExitUsage;
+  }
+  end = false;
+  return kExitDone;
+}
+
+void StartLogging(const guavatrail::LogSettings& log) {
+  google::InitGoogleLogging("guavatraild");
+  FLAGS_minloglevel = static_cast<int>(log.level);
+  if (log.directory.empty()) {
+    FLAGS_logtostderr = true;
+  } else {
+    FLAGS_log_dir = log.directory;
+  }
+}
+
+int RunNode(const guavatrail::Settings& settings) {
+  guavatrail::EventLoop loop;
+  guavatrail::Node node(loop, settings);
+  auto started = node.Start();
+  if (!started) {
+    LOG(ERROR) << "event=start_failed node=" << settings.node.name
+               << " error=\"" << started.error().message << "\"";
+    return kExitRefused;
+  }
+  loop.OnSignal(SIGTERM, [&node] { node.Stop(); });
+  loop.OnSignal(SIGINT, [&node] { node.Stop(); });
+  loop.Run();
+  LOG(INFO) << "event=stopped node=" << settings.node.name;
+  return kExitDone;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Arguments arguments;
+  bool end = false;
+  int code = ParseArguments(argc, argv, arguments, end);
+  if (end) return code;
+  if (arguments.print_reference) {
+    std::cout << guavatrail::SettingsReference();
+    return kExitDone;
+  }
+  auto settings = guavatrail::LoadSettings(arguments.settings_file);
+  if (!settings) {
+    std::cerr << "guavatraild: " << settings.error().message << "\n";
+    return kExitRefused;
+  }
+  if (arguments.check_only) {
+    std::cout << arguments.settings_file << ": settings are valid\n";
+    return kExitDone;
+  }
+  if (sodium_init() < 0) {
+    std::cerr << "guavatraild: libsodium cannot be initialized\n";
+    return kExitRefused;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  StartLogging(settings->log);
+  return RunNode(*settings);
+}
