Add admission and placement policies with their baselines

The call path needs decisions on which requests run, wait or are refused, and on which server a call goes to. Both are pure modules: clock and random numbers are handed in, and the baseline is another alternative of the same variant.

--- /dev/null
+++ b/src/admission.cc
@@ -0,0 +1,256 @@
+#include "admission.h"
+
+#include <algorithm>
+
+namespace guavatrail {
+
+namespace {
+
+constexpr int64_t kUsPerMs = 1000;
+// Below 20 ms callers would return within the same burst; beyond 30 s the prediction says nothing.
+constexpr int64_t kMinRetryAfterMs = 20;
+constexpr int64_t kMaxRetryAfterMs = 30'000;
+
+AdmissionDecision Decide(AdmissionDecision::Action action) { return {.action = action}; }
+
+}  // namespace
+
+// One slot must stay usable for long work, or it would never run on a server with few slots.
+SlotAdmission::SlotAdmission(Options options)
+    : m_options(options), m_long_limit(std::max(1, options.slots - options.reserved_short_slots)) {}
+
+AdmissionDecision SlotAdmission::Arrive(const AdmissionRequest& request, int64_t now_us) {
+  using Action = AdmissionDecision::Action;
+  if (request.deadline_us <= now_us) {
+    return {.action = Action::kRefuse, .retry_after_ms = RetryAfterMs(now_us)};
+  }
+  // A free slot is taken even if the estimate says that the deadline will be missed: the
+  // measurement corrects an estimate that is too high.
+  if (HasSlotFor(request.is_short)) {
+    Start(request, now_us);
+    return Decide(Action::kRun);
+  }
+  if (WouldMissDeadline(request, PredictedWaitUs(request, now_us), now_us)) {
+    return {.action = Action::kRefuse, .retry_after_ms = RetryAfterMs(now_us)};
+  }
+  AdmissionDecision decision = Decide(Action::kQueue);
+  if (static_cast<int>(m_queue.size()) >= m_options.queue_limit) {
+    auto last = m_queue.empty() ? m_queue.end() : std::prev(m_queue.end());
+    if (last == m_queue.end() || last->second.importance >= request.importance) {
+      return {.action = Action::kRefuse, .retry_after_ms = RetryAfterMs(now_us)};
+    }
+    decision.evicted.push_back({last->second.id, RetryAfterMs(now_us)});
+    Dequeue(last);
+  }
+  Enqueue(request);
+  return decision;
+}
+
+AdmissionChanges SlotAdmission::Finish(uint64_t id, int64_t service_us, int64_t now_us) {
+  AdmissionChanges changes;
+  auto entry = m_running.find(id);
+  if (entry == m_running.end()) return changes;
+  (entry->second.is_short ? m_short_estimate : m_long_estimate).Add(service_us);
+  EndRunning(entry);
+  StartQueued(now_us, changes);
+  return changes;
+}
+
+AdmissionChanges SlotAdmission::Cancel(uint64_t id, int64_t now_us) {
+  AdmissionChanges changes;
+  if (auto queued = m_queued_ranks.find(id); queued != m_queued_ranks.end()) {
+    Dequeue(m_queue.find(queued->second));
+    return changes;
+  }
+  auto entry = m_running.find(id);
+  if (entry == m_running.end()) return changes;
+  // The true service time is unknown, but it is at least the elapsed time. Without this a server
+  // whose requests all time out would keep a low estimate.
+  ServiceTimeEstimate& estimate = entry->second.is_short ? m_short_estimate : m_long_estimate;
+  int64_t elapsed_us = now_us - entry->second.start_us;
+  if (elapsed_us > estimate.typical_us()) estimate.Add(elapsed_us);
+  EndRunning(entry);
+  StartQueued(now_us, changes);
+  return changes;
+}
+
+AdmissionChanges SlotAdmission::Expire(int64_t now_us) {
+  AdmissionChanges changes;
+  for (auto entry = m_queue.begin(); entry != m_queue.end();) {
+    if (WouldMissDeadline(entry->second, 0, now_us)) {
+      changes.refuse.push_back({entry->second.id, 0});
+      entry = Dequeue(entry);
+    } else {
+      ++entry;
+    }
+  }
+  // The drain time without the refused entries is what the next request will meet.
+  for (AdmissionRefusal& refusal : changes.refuse) refusal.retry_after_ms = RetryAfterMs(now_us);
+  return changes;
+}
+
+AdmissionLoad SlotAdmission::load() const {
+  int64_t service_us = m_short_estimate.typical_us();
+  if (service_us == 0) service_us = m_long_estimate.typical_us();
+  return {static_cast<int>(m_running.size()), static_cast<int>(m_queue.size()), service_us};
+}
+
+int64_t SlotAdmission::PredictedWaitUs(const AdmissionRequest& request, int64_t now_us) const {
+  Remaining work = RemainingOfRunning(now_us);
+  Rank rank{-request.importance, request.deadline_us, m_next_sequence};
+  for (const auto& [other, entry] : m_queue) {
+    if (rank < other) break;
+    (entry.is_short ? work.short_us : work.long_us) += EstimateOf(entry.is_short).typical_us();
+  }
+  int usable = std::max(1, m_options.slots - work.stuck_short - work.stuck_long);
+  int64_t shared_us = (work.short_us + work.long_us) / usable;
+  if (request.is_short) {
+    // Long work ahead cannot enter the reserved slots, so short work waits at most for short work.
+    int reserved = m_options.slots - m_long_limit - work.stuck_short;
+    return reserved > 0 ? std::min(shared_us, work.short_us / reserved) : shared_us;
+  }
+  return std::max(shared_us, work.long_us / std::max(1, m_long_limit - work.stuck_long));
+}
+
+int64_t SlotAdmission::PredictedDrainUs(int64_t now_us) const {
+  Remaining work = RemainingOfRunning(now_us);
+  for (const auto& [rank, entry] : m_queue) {
+    (entry.is_short ? work.short_us : work.long_us) += EstimateOf(entry.is_short).typical_us();
+  }
+  int usable = std::max(1, m_options.slots - work.stuck_short - work.stuck_long);
+  return std::max((work.short_us + work.long_us) / usable,
+                  work.long_us / std::max(1, m_long_limit - work.stuck_long));
+}
+
+const ServiceTimeEstimate& SlotAdmission::EstimateOf(bool is_short) const {
+  return is_short ? m_short_estimate : m_long_estimate;
+}
+
+bool SlotAdmission::HasSlotFor(bool is_short) const {
+  if (static_cast<int>(m_running.size()) >= m_options.slots) return false;
+  return is_short || m_running_long < m_long_limit;
+}
+
+bool SlotAdmission::WouldMissDeadline(const AdmissionRequest& request, int64_t wait_us,
+                                      int64_t now_us) const {
+  return now_us + wait_us + EstimateOf(request.is_short).typical_us() > request.deadline_us;
+}
+
+SlotAdmission::Remaining SlotAdmission::RemainingOfRunning(int64_t now_us) const {
+  Remaining remaining;
+  for (const auto& [id, running] : m_running) {
+    const ServiceTimeEstimate& estimate = EstimateOf(running.is_short);
+    int64_t elapsed_us = now_us - running.start_us;
+    if (estimate.IsStraggler(elapsed_us)) {
+      ++(running.is_short ? remaining.stuck_short : remaining.stuck_long);
+      continue;
+    }
+    (running.is_short ? remaining.short_us : remaining.long_us) +=
+        std::max<int64_t>(0, estimate.typical_us() - elapsed_us);
+  }
+  return remaining;
+}
+
+int64_t SlotAdmission::RetryAfterMs(int64_t now_us) const {
+  return std::clamp(PredictedDrainUs(now_us) / kUsPerMs, kMinRetryAfterMs, kMaxRetryAfterMs);
+}
+
+void SlotAdmission::Start(const AdmissionRequest& request, int64_t now_us) {
+  m_running[request.id] = {request.is_short, now_us};
+  if (!request.is_short) ++m_running_long;
+}
+
+void SlotAdmission::Enqueue(const AdmissionRequest& request) {
+  Rank rank{-request.importance, request.deadline_us, m_next_sequence++};
+  m_queue.emplace(rank, request);
+  m_queued_ranks.emplace(request.id, rank);
+}
+
+SlotAdmission::Queue::iterator SlotAdmission::Dequeue(Queue::iterator entry) {
+  m_queued_ranks.erase(entry->second.id);
+  return m_queue.erase(entry);
+}
+
+void SlotAdmission::EndRunning(std::unordered_map<uint64_t, Running>::iterator entry) {
+  if (!entry->second.is_short) --m_running_long;
+  m_running.erase(entry);
+}
+
+void SlotAdmission::StartQueued(int64_t now_us, AdmissionChanges& changes) {
+  auto entry = m_queue.begin();
+  while (entry != m_queue.end() && static_cast<int>(m_running.size()) < m_options.slots) {
+    const AdmissionRequest& request = entry->second;
+    if (WouldMissDeadline(request, 0, now_us)) {
+      // Running it would take a slot from a request that can still be answered in time.
+      changes.refuse.push_back({request.id, 0});
+      entry = Dequeue(entry);
+    } else if (HasSlotFor(request.is_short)) {
+      Start(request, now_us);
+      changes.start.push_back(request.id);
+      entry = Dequeue(entry);
+    } else {
+      ++entry;
+    }
+  }
+  for (AdmissionRefusal& refusal : changes.refuse) refusal.retry_after_ms = RetryAfterMs(now_us);
+}
+
+AdmissionDecision UnlimitedAdmission::Arrive(const AdmissionRequest& request, int64_t /*now_us*/) {
+  if (static_cast<int>(m_running.size()) < m_options.concurrency) {
+    m_running[request.id] = true;
+    return Decide(AdmissionDecision::Action::kRun);
+  }
+  m_queue.push_back(request.id);
+  return Decide(AdmissionDecision::Action::kQueue);
+}
+
+AdmissionChanges UnlimitedAdmission::Finish(uint64_t id, int64_t service_us, int64_t /*now_us*/) {
+  if (m_running.erase(id) == 0) return {};
+  m_estimate.Add(service_us);
+  return StartQueued();
+}
+
+AdmissionChanges UnlimitedAdmission::Cancel(uint64_t id, int64_t /*now_us*/) {
+  if (m_running.erase(id) > 0) return StartQueued();
+  std::erase(m_queue, id);
+  return {};
+}
+
+AdmissionChanges UnlimitedAdmission::Expire(int64_t /*now_us*/) { return {}; }
+
+AdmissionLoad UnlimitedAdmission::load() const {
+  return {static_cast<int>(m_running.size()), static_cast<int>(m_queue.size()),
+          m_estimate.typical_us()};
+}
+
+AdmissionChanges UnlimitedAdmission::StartQueued() {
+  AdmissionChanges changes;
+  while (!m_queue.empty() && static_cast<int>(m_running.size()) < m_options.concurrency) {
+    m_running[m_queue.front()] = true;
+    changes.start.push_back(m_queue.front());
+    m_queue.pop_front();
+  }
+  return changes;
+}
+
+AdmissionDecision Arrive(AdmissionPolicy& policy, const AdmissionRequest& request, int64_t now_us) {
+  return std::visit([&](auto& p) { return p.Arrive(request, now_us); }, policy);
+}
+
+AdmissionChanges Finish(AdmissionPolicy& policy, uint64_t id, int64_t service_us, int64_t now_us) {
+  return std::visit([&](auto& p) { return p.Finish(id, service_us, now_us); }, policy);
+}
+
+AdmissionChanges Cancel(AdmissionPolicy& policy, uint64_t id, int64_t now_us) {
+  return std::visit([&](auto& p) { return p.Cancel(id, now_us); }, policy);
+}
+
+AdmissionChanges Expire(AdmissionPolicy& policy, int64_t now_us) {
+  return std::visit([&](auto& p) { return p.Expire(now_us); }, policy);
+}
+
+AdmissionLoad LoadOf(const AdmissionPolicy& policy) {
+  return std::visit([](const auto& p) { return p.load(); }, policy);
+}
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/admission.h
@@ -0,0 +1,164 @@
+// Defines AdmissionPolicy, which decides at the serving node which requests run on the backend
+// server now, which wait, and which are refused as not run. Pure: clock and events are handed in.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "service_time.h"
+
+namespace guavatrail {
+
+// All times are microseconds of one monotonic clock.
+struct AdmissionRequest {
+  uint64_t id = 0;     // Unique among the requests that the policy holds.
+  int importance = 1;  // 0 (first to be refused) to 3.
+  bool is_short = true;
+  int64_t deadline_us = 0;  // Point in time.
+  int64_t arrival_us = 0;   // Point in time.
+};
+
+// A request that was not run and never will be.
+struct AdmissionRefusal {
+  uint64_t id = 0;
+  // Predicted time until the work held now is done, in milliseconds; positive.
+  int64_t retry_after_ms = 0;
+  bool operator==(const AdmissionRefusal&) const = default;
+};
+
+struct AdmissionDecision {
+  enum class Action { kRun, kQueue, kRefuse };
+  Action action = Action::kRun;
+  int64_t retry_after_ms = 0;  // With kRefuse only.
+  // Other requests that leave the queue to make room for this one.
+  std::vector<AdmissionRefusal> evicted;
+};
+
+// What to do after an event: queued requests to start, and queued requests to refuse.
+struct AdmissionChanges {
+  std::vector<uint64_t> start;
+  std::vector<AdmissionRefusal> refuse;
+};
+
+// Load as reported to entry nodes.
+struct AdmissionLoad {
+  int in_service = 0;
+  int queued = 0;
+  // Typical service time of short work, of long work while no short work was seen; 0 if unknown.
+  int64_t service_us = 0;
+};
+
+// A fixed number of slots, some of which long work may not use, and a bounded queue ordered by
+// importance, then earliest deadline. A request is refused at once when it would miss its deadline.
+class SlotAdmission {
+ public:
+  struct Options {
+    int slots = 9;
+    int reserved_short_slots = 2;
+    int queue_limit = 256;
+  };
+
+  explicit SlotAdmission(Options options);
+
+  AdmissionDecision Arrive(const AdmissionRequest& request, int64_t now_us);
+  AdmissionChanges Finish(uint64_t id, int64_t service_us, int64_t now_us);
+  AdmissionChanges Cancel(uint64_t id, int64_t now_us);
+  AdmissionChanges Expire(int64_t now_us);
+
+  AdmissionLoad load() const;
+  // Predicted wait in microseconds of `request` if it were queued now.
+  int64_t PredictedWaitUs(const AdmissionRequest& request, int64_t now_us) const;
+  // Predicted time in microseconds until the running and queued work is done.
+  int64_t PredictedDrainUs(int64_t now_us) const;
+
+ private:
+  struct Rank {
+    int unimportance = 0;
+    int64_t deadline_us = 0;
+    uint64_t sequence = 0;
+    auto operator<=>(const Rank&) const = default;
+  };
+  struct Running {
+    bool is_short = true;
+    int64_t start_us = 0;
+  };
+  // Work in microseconds, and slots that a straggler holds for an unknown time.
+  struct Remaining {
+    int64_t short_us = 0;
+    int64_t long_us = 0;
+    int stuck_short = 0;
+    int stuck_long = 0;
+  };
+  using Queue = std::map<Rank, AdmissionRequest>;
+
+  const ServiceTimeEstimate& EstimateOf(bool is_short) const;
+  bool HasSlotFor(bool is_short) const;
+  bool WouldMissDeadline(const AdmissionRequest& request, int64_t wait_us, int64_t now_us) const;
+  Remaining RemainingOfRunning(int64_t now_us) const;
+  int64_t RetryAfterMs(int64_t now_us) const;
+  void Start(const AdmissionRequest& request, int64_t now_us);
+  void Enqueue(const AdmissionRequest& request);
+  Queue::iterator Dequeue(Queue::iterator entry);
+  void EndRunning(std::unordered_map<uint64_t, Running>::iterator entry);
+  void StartQueued(int64_t now_us, AdmissionChanges& changes);
+
+  Options m_options;
+  int m_long_limit;
+  int m_running_long = 0;
+  uint64_t m_next_sequence = 0;
+  ServiceTimeEstimate m_short_estimate;
+  ServiceTimeEstimate m_long_estimate;
+  std::unordered_map<uint64_t, Running> m_running;
+  Queue m_queue;
+  std::unordered_map<uint64_t, Rank> m_queued_ranks;
+};
+
+// Baseline: first in, first out, without bound on the queue, deadlines or kinds of work.
+class UnlimitedAdmission {
+ public:
+  struct Options {
+    // Requests that run at the same time; the rest waits.
+    int concurrency = 130;
+  };
+
+  explicit UnlimitedAdmission(Options options) : m_options(options) {}
+
+  AdmissionDecision Arrive(const AdmissionRequest& request, int64_t now_us);
+  AdmissionChanges Finish(uint64_t id, int64_t service_us, int64_t now_us);
+  AdmissionChanges Cancel(uint64_t id, int64_t now_us);
+  AdmissionChanges Expire(int64_t now_us);
+  AdmissionLoad load() const;
+
+ private:
+  AdmissionChanges StartQueued();
+
+  Options m_options;
+  ServiceTimeEstimate m_estimate;
+  std::unordered_map<uint64_t, bool> m_running;
+  std::deque<uint64_t> m_queue;
+};
+
+using AdmissionPolicy = std::variant<SlotAdmission, UnlimitedAdmission>;
+
+// Decides about a new request. After kRun the caller starts it and later calls Finish or Cancel;
+// after kQueue the request is named by a later change.
+AdmissionDecision Arrive(AdmissionPolicy& policy, const AdmissionRequest& request, int64_t now_us);
+
+// A running request ended after `service_us` on the backend server. An unknown id changes nothing.
+AdmissionChanges Finish(AdmissionPolicy& policy, uint64_t id, int64_t service_us, int64_t now_us);
+
+// A running or queued request was given up and needs no answer. An unknown id changes nothing.
+AdmissionChanges Cancel(AdmissionPolicy& policy, uint64_t id, int64_t now_us);
+
+// Refuses queued requests that can no longer meet their deadline. To be called every few tens of
+// milliseconds while requests are queued.
+AdmissionChanges Expire(AdmissionPolicy& policy, int64_t now_us);
+
+AdmissionLoad LoadOf(const AdmissionPolicy& policy);
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/placement.cc
@@ -0,0 +1,211 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace guavatrail {
+
+namespace {
+
+// A report loses half of its weight in this time: a server that is no longer chosen because of an
+// old report gets calls again.
+constexpr double kReportHalfLifeUs = 500'000;
+// Assumed service time while no server has reported one.
+constexpr double kDefaultServiceUs = 5'000;
+// Share of its draws that a server takes just after it appeared.
+constexpr double kSlowStartShare = 0.1;
+// Draws for one choice before a slowly starting server is taken all the same.
+constexpr int kMaxDraws = 8;
+constexpr int64_t kUsPerMs = 1000;
+
+double WeightOf(const PlacementCandidate& candidate) {
+  if (candidate.load_age_us < 0) return 0;
+  return std::exp2(-static_cast<double>(candidate.load_age_us) / kReportHalfLifeUs);
+}
+
+// Requests that the server is believed to hold.
+double RequestsAt(const PlacementCandidate& candidate) {
+  double reported = WeightOf(candidate) * (candidate.load.in_service + candidate.load.queued);
+  int own_since = std::max(0, candidate.own_in_flight - candidate.own_in_flight_at_report);
+  return std::max<double>(candidate.own_in_flight, reported + own_since);
+}
+
+double NeutralServiceUs(std::span<const PlacementCandidate> candidates) {
+  double sum = 0;
+  int known = 0;
+  for (const PlacementCandidate& candidate : candidates) {
+    if (candidate.load_age_us < 0 || candidate.load.service_us <= 0) continue;
+    sum += static_cast<double>(candidate.load.service_us);
+    ++known;
+  }
+  return known == 0 ? kDefaultServiceUs : sum / known;
+}
+
+std::optional<int64_t> TakeNumber(std::string_view& text, std::string_view name) {
+  if (!text.starts_with(name)) return std::nullopt;
+  text.remove_prefix(name.size());
+  int64_t value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || value < 0) return std::nullopt;
+  text.remove_prefix(static_cast<size_t>(end - text.data()));
+  return value;
+}
+
+}  // namespace
+
+std::string FormatLoad(const ServerLoad& load) {
+  return "in_service=" + std::to_string(load.in_service) +
+         ",queued=" + std::to_string(load.queued) +
+         ",service_us=" + std::to_string(load.service_us);
+}
+
+std::optional<ServerLoad> ParseLoad(std::string_view text) {
+  constexpr int64_t kMaxRequests = 1'000'000;
+  auto in_service = TakeNumber(text, "in_service=");
+  auto queued = in_service ? TakeNumber(text, ",queued=") : std::nullopt;
+  auto service_us = queued ? TakeNumber(text, ",service_us=") : std::nullopt;
+  if (!service_us || !text.empty()) return std::nullopt;
+  if (*in_service > kMaxRequests || *queued > kMaxRequests) return std::nullopt;
+  return ServerLoad{static_cast<int>(*in_service), static_cast<int>(*queued), *service_us};
+}
+
+bool TwoChoices::IsLocal(const PlacementCandidate& candidate) const {
+  return candidate.data_centre == m_options.local_data_centre;
+}
+
+void TwoChoices::UpdateSpill(std::span<const PlacementCandidate> candidates) {
+  double requests = 0;
+  double slots = 0;
+  for (const PlacementCandidate& candidate : candidates) {
+    if (!IsLocal(candidate) || candidate.avoid) continue;
+    requests += RequestsAt(candidate);
+    slots += std::max(1, candidate.slots);
+  }
+  if (slots == 0) return;
+  double pressure = requests / slots;
+  if (pressure >= m_options.spill_start) m_spilling = true;
+  if (pressure <= m_options.spill_stop) m_spilling = false;
+}
+
+double TwoChoices::ScoreOf(const PlacementCandidate& candidate, double neutral_us) const {
+  double service_us = neutral_us;
+  if (candidate.load.service_us > 0) {
+    service_us +=
+        WeightOf(candidate) * (static_cast<double>(candidate.load.service_us) - neutral_us);
+  }
+  double turns = (RequestsAt(candidate) + 1) / std::max(1, candidate.slots);
+  double remote_us = IsLocal(candidate) ? 0 : static_cast<double>(m_options.remote_cost_us);
+  return turns * service_us + remote_us;
+}
+
+std::vector<size_t> TwoChoices::PoolOf(std::span<const PlacementCandidate> candidates) const {
+  std::vector<size_t> pool;
+  auto fill = [&](auto&& wanted) {
+    for (size_t i = 0; i < candidates.size(); ++i) {
+      if (wanted(candidates[i])) pool.push_back(i);
+    }
+    return !pool.empty();
+  };
+  if (!m_spilling && fill([&](const auto& c) { return !c.avoid && IsLocal(c); })) return pool;
+  if (fill([](const auto& c) { return !c.avoid; })) return pool;
+  fill([](const auto&) { return true; });
+  return pool;
+}
+
+size_t TwoChoices::Draw(std::span<const PlacementCandidate> candidates,
+                        std::span<const size_t> pool, std::optional<size_t> other,
+                        RandomSource& random) const {
+  size_t drawn = 0;
+  for (int i = 0; i < kMaxDraws; ++i) {
+    drawn = pool[random.Below(pool.size())];
+    if (drawn == other) continue;
+    double ramp = static_cast<double>(candidates[drawn].known_for_us) /
+                  static_cast<double>(m_options.slow_start_us);
+    double share = kSlowStartShare + (1 - kSlowStartShare) * ramp;
+    if (share >= 1 || random.Unit() < share) break;
+  }
+  return drawn;
+}
+
+std::optional<size_t> TwoChoices::Choose(std::span<const PlacementCandidate> candidates,
+                                         RandomSource& random) {
+  if (candidates.empty()) return std::nullopt;
+  UpdateSpill(candidates);
+  std::vector<size_t> pool = PoolOf(candidates);
+  if (pool.size() == 1) return pool.front();
+  size_t first = Draw(candidates, pool, std::nullopt, random);
+  size_t second = Draw(candidates, pool, first, random);
+  double neutral_us = NeutralServiceUs(candidates);
+  bool second_is_better =
+      ScoreOf(candidates[second], neutral_us) < ScoreOf(candidates[first], neutral_us);
+  return second_is_better ? second : first;
+}
+
+std::optional<size_t> RoundRobin::Choose(std::span<const PlacementCandidate> candidates,
+                                         RandomSource& /*random*/) {
+  if (candidates.empty()) return std::nullopt;
+  return m_next++ % candidates.size();
+}
+
+std::optional<size_t> Choose(PlacementPolicy& policy,
+                             std::span<const PlacementCandidate> candidates, RandomSource& random) {
+  return std::visit([&](auto& p) { return p.Choose(candidates, random); }, policy);
+}
+
+bool IsSpilling(const PlacementPolicy& policy) {
+  const auto* two_choices = std::get_if<TwoChoices>(&policy);
+  return two_choices != nullptr && two_choices->is_spilling();
+}
+
+LoadTracker::Entry& LoadTracker::EntryOf(std::string_view node, int64_t now_us) {
+  auto entry = m_entries.find(node);
+  if (entry == m_entries.end()) {
+    entry = m_entries.emplace(std::string(node), Entry{.seen_us = now_us}).first;
+  }
+  return entry->second;
+}
+
+void LoadTracker::Sent(std::string_view node, int64_t now_us) { ++EntryOf(node, now_us).in_flight; }
+
+void LoadTracker::Ended(std::string_view node) {
+  auto entry = m_entries.find(node);
+  if (entry == m_entries.end() || entry->second.in_flight == 0) return;
+  --entry->second.in_flight;
+  // What has ended since the report is no longer part of the reported requests.
+  entry->second.in_flight_at_report =
+      std::min(entry->second.in_flight_at_report, entry->second.in_flight);
+}
+
+void LoadTracker::Reported(std::string_view node, const ServerLoad& load, int64_t now_us) {
+  Entry& entry = EntryOf(node, now_us);
+  entry.load = load;
+  entry.reported_us = now_us;
+  entry.in_flight_at_report = entry.in_flight;
+}
+
+void LoadTracker::Refused(std::string_view node, int64_t retry_after_ms, int64_t now_us) {
+  Entry& entry = EntryOf(node, now_us);
+  entry.avoid_until_us = std::max(entry.avoid_until_us, now_us + retry_after_ms * kUsPerMs);
+}
+
+void LoadTracker::Seen(std::string_view node, int64_t now_us) { EntryOf(node, now_us); }
+
+void LoadTracker::Forget(std::string_view node) {
+  auto entry = m_entries.find(node);
+  if (entry != m_entries.end()) m_entries.erase(entry);
+}
+
+void LoadTracker::Fill(PlacementCandidate& candidate, int64_t now_us) const {
+  auto entry = m_entries.find(candidate.node);
+  if (entry == m_entries.end()) return;
+  const Entry& known = entry->second;
+  candidate.load = known.load;
+  candidate.load_age_us = known.reported_us < 0 ? -1 : now_us - known.reported_us;
+  candidate.own_in_flight = known.in_flight;
+  candidate.own_in_flight_at_report = known.in_flight_at_report;
+  candidate.known_for_us = now_us - known.seen_us;
+  candidate.avoid = now_us < known.avoid_until_us;
+}
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/service_time.h
@@ -0,0 +1,38 @@
+// Defines ServiceTimeEstimate, a running estimate of the typical service time that a few very long
+// requests do not distort.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+namespace guavatrail {
+
+class ServiceTimeEstimate {
+ public:
+  // Adds a measured service time in microseconds.
+  void Add(int64_t service_us) {
+    auto sample = static_cast<double>(std::max<int64_t>(service_us, 1));
+    // A straggler counts as at most kClip times the estimate. When all work gets slower the
+    // estimate still follows, since it can grow by (kClip - 1) / kWindow at every sample.
+    if (m_samples > 0) sample = std::min(sample, kClip * m_estimate_us);
+    m_samples = std::min(m_samples + 1, kWindow);
+    m_estimate_us += (sample - m_estimate_us) / m_samples;
+  }
+
+  // 0 before the first sample.
+  int64_t typical_us() const { return static_cast<int64_t>(m_estimate_us); }
+
+  // Whether a request that has run for `elapsed_us` is a straggler whose end cannot be predicted.
+  bool IsStraggler(int64_t elapsed_us) const {
+    return m_samples > 0 && static_cast<double>(elapsed_us) > kClip * m_estimate_us;
+  }
+
+ private:
+  static constexpr double kClip = 4.0;
+  static constexpr int kWindow = 16;
+
+  double m_estimate_us = 0;
+  int m_samples = 0;
+};
+
+}  // namespace guavatrail
