Add release notes, the config table and their codec

Cause: operators write release notes in TOML; nodes need one table that every note changes whole or not at all, and bytes with a stable digest. ResourceRef gets operator< instead of a defaulted <=>, inside which clang-tidy 14 reports modernize-use-nullptr.

--- /dev/null
+++ b/src/config_codec.cc
@@ -0,0 +1,193 @@
+#include "config_codec.h"
+
+#include <glog/logging.h>
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <sodium.h>
+
+#include <array>
+
+namespace guavatrail {
+
+namespace {
+
+tl::unexpected<CodecError> Fail(const std::string& message) {
+  return tl::make_unexpected(CodecError{message});
+}
+
+pb::Resource ToProto(const Resource& resource) {
+  struct Visitor {
+    pb::Resource operator()(const Service& r) const {
+      pb::Resource out;
+      out.mutable_service()->set_name(r.name);
+      out.mutable_service()->set_owner(r.owner);
+      out.mutable_service()->set_objective(r.objective);
+      return out;
+    }
+    pb::Resource operator()(const WorkKind& r) const {
+      pb::Resource out;
+      pb::WorkKind* work = out.mutable_work_kind();
+      work->set_name(r.name);
+      work->set_deadline_ms(r.deadline_ms);
+      work->set_idempotent(r.idempotent);
+      work->set_importance(r.importance);
+      work->set_is_short(r.is_short);
+      work->set_key_per_request(r.key == KeyMode::kPerRequest);
+      return out;
+    }
+    pb::Resource operator()(const Route& r) const {
+      pb::Resource out;
+      out.mutable_route()->set_name(r.name);
+      out.mutable_route()->set_path_prefix(r.path_prefix);
+      out.mutable_route()->set_service(r.service);
+      out.mutable_route()->set_work(r.work);
+      return out;
+    }
+  };
+  return std::visit(Visitor{}, resource);
+}
+
+tl::expected<Resource, CodecError> FromProto(const pb::Resource& message) {
+  switch (message.resource_case()) {
+    case pb::Resource::kService: {
+      const pb::Service& r = message.service();
+      return Service{r.name(), r.owner(), r.objective()};
+    }
+    case pb::Resource::kWorkKind: {
+      const pb::WorkKind& r = message.work_kind();
+      KeyMode key = r.key_per_request() ? KeyMode::kPerRequest : KeyMode::kRequired;
+      return WorkKind{r.name(), r.deadline_ms(), r.idempotent(), r.importance(), r.is_short(), key};
+    }
+    case pb::Resource::kRoute: {
+      const pb::Route& r = message.route();
+      return Route{r.name(), r.path_prefix(), r.service(), r.work()};
+    }
+    case pb::Resource::RESOURCE_NOT_SET:
+      break;
+  }
+  return Fail("resource of unknown type");
+}
+
+template <typename Repeated>
+tl::expected<std::vector<Resource>, CodecError> FromProtoList(const Repeated& messages) {
+  std::vector<Resource> resources;
+  resources.reserve(messages.size());
+  for (const pb::Resource& message : messages) {
+    auto resource = FromProto(message);
+    if (!resource) return tl::make_unexpected(resource.error());
+    resources.push_back(std::move(*resource));
+  }
+  return resources;
+}
+
+template <typename Message>
+bool Parse(std::string_view bytes, Message& message) {
+  return bytes.size() <= INT32_MAX &&
+         message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+}  // namespace
+
+std::string SerializeCanonical(const google::protobuf::MessageLite& message) {
+  std::string bytes;
+  {
+    google::protobuf::io::StringOutputStream stream(&bytes);
+    google::protobuf::io::CodedOutputStream coded(&stream);
+    coded.SetSerializationDeterministic(true);
+    CHECK(message.SerializeToCodedStream(&coded)) << "message cannot be serialized";
+  }
+  return bytes;
+}
+
+pb::ResourceRef ToProto(const ResourceRef& ref) {
+  pb::ResourceRef out;
+  switch (ref.type) {
+    case ResourceType::kService:
+      out.set_type(pb::RESOURCE_TYPE_SERVICE);
+      break;
+    case ResourceType::kWorkKind:
+      out.set_type(pb::RESOURCE_TYPE_WORK_KIND);
+      break;
+    case ResourceType::kRoute:
+      out.set_type(pb::RESOURCE_TYPE_ROUTE);
+      break;
+  }
+  out.set_name(ref.name);
+  return out;
+}
+
+tl::expected<ResourceRef, CodecError> FromProto(const pb::ResourceRef& message) {
+  switch (message.type()) {
+    case pb::RESOURCE_TYPE_SERVICE:
+      return ResourceRef{ResourceType::kService, message.name()};
+    case pb::RESOURCE_TYPE_WORK_KIND:
+      return ResourceRef{ResourceType::kWorkKind, message.name()};
+    case pb::RESOURCE_TYPE_ROUTE:
+      return ResourceRef{ResourceType::kRoute, message.name()};
+    default:
+      return Fail("reference to a resource of unknown type");
+  }
+}
+
+std::string EncodeNote(const ReleaseNote& note) {
+  pb::ReleaseNote out;
+  out.set_id(note.id);
+  out.set_author(note.author);
+  out.set_summary(note.summary);
+  for (const Resource& resource : note.added) *out.add_added() = ToProto(resource);
+  for (const Resource& resource : note.changed) *out.add_changed() = ToProto(resource);
+  for (const ResourceRef& ref : note.withdrawn) *out.add_withdrawn() = ToProto(ref);
+  return SerializeCanonical(out);
+}
+
+tl::expected<ReleaseNote, CodecError> DecodeNote(std::string_view bytes) {
+  pb::ReleaseNote message;
+  if (!Parse(bytes, message)) return Fail("not an encoded release note");
+  ReleaseNote note{message.id(), message.author(), message.summary(), {}, {}, {}};
+  auto added = FromProtoList(message.added());
+  if (!added) return tl::make_unexpected(added.error());
+  note.added = std::move(*added);
+  auto changed = FromProtoList(message.changed());
+  if (!changed) return tl::make_unexpected(changed.error());
+  note.changed = std::move(*changed);
+  for (const pb::ResourceRef& ref : message.withdrawn()) {
+    auto decoded = FromProto(ref);
+    if (!decoded) return tl::make_unexpected(decoded.error());
+    note.withdrawn.push_back(std::move(*decoded));
+  }
+  if (EncodeNote(note) != bytes) return Fail("release note is not in canonical form");
+  if (auto valid = ValidateNote(note); !valid) return Fail(valid.error().message);
+  return note;
+}
+
+std::string EncodeTable(const ConfigTable& table) {
+  pb::Table out;
+  out.set_version(table.version());
+  for (const Resource& resource : table.Resources()) *out.add_resources() = ToProto(resource);
+  return SerializeCanonical(out);
+}
+
+tl::expected<ConfigTable, CodecError> DecodeTable(std::string_view bytes) {
+  pb::Table message;
+  if (!Parse(bytes, message)) return Fail("not an encoded table");
+  auto resources = FromProtoList(message.resources());
+  if (!resources) return tl::make_unexpected(resources.error());
+  auto table = ConfigTable::FromResources(message.version(), *resources);
+  if (!table) return Fail(table.error().message);
+  if (EncodeTable(*table) != bytes) return Fail("table is not in canonical form");
+  return std::move(*table);
+}
+
+std::string DigestOf(std::string_view bytes) {
+  // sodium_init is idempotent; it selects the fastest implementation of the hash.
+  static const int kInitialized = sodium_init();
+  CHECK_GE(kInitialized, 0) << "sodium_init failed";
+  std::array<unsigned char, crypto_generichash_BYTES> hash{};
+  crypto_generichash(hash.data(), hash.size(), reinterpret_cast<const unsigned char*>(bytes.data()),
+                     bytes.size(), nullptr, 0);
+  std::array<char, 2 * crypto_generichash_BYTES + 1> hex{};
+  sodium_bin2hex(hex.data(), hex.size(), hash.data(), hash.size());
+  return hex.data();
+}
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/config_table.cc
@@ -0,0 +1,279 @@
+#include "config_table.h"
+
+#include <algorithm>
+
+namespace guavatrail {
+
+namespace {
+
+using Code = ConfigError::Code;
+
+tl::unexpected<ConfigError> Fail(Code code, const ResourceRef& ref, const std::string& message) {
+  return tl::make_unexpected(ConfigError{code, ref, ToString(ref) + ": " + message});
+}
+
+bool IsText(std::string_view text) { return text.size() <= kMaxTextLength; }
+
+tl::expected<void, ConfigError> ValidateValues(const Service& service) {
+  ResourceRef ref{ResourceType::kService, service.name};
+  if (!IsText(service.owner)) return Fail(Code::kInvalidValue, ref, "owner is over 1000 bytes");
+  // The negated form also refuses a value that is not a number.
+  if (!(service.objective > 0.0 && service.objective < 1.0)) {
+    return Fail(Code::kInvalidValue, ref,
+                "objective is " + std::to_string(service.objective) +
+                    ", allowed is a number between 0 and 1");
+  }
+  return {};
+}
+
+tl::expected<void, ConfigError> ValidateValues(const WorkKind& work) {
+  ResourceRef ref{ResourceType::kWorkKind, work.name};
+  if (work.deadline_ms < 1 || work.deadline_ms > kMaxDeadlineMs) {
+    return Fail(Code::kInvalidValue, ref,
+                "deadline_ms is " + std::to_string(work.deadline_ms) +
+                    ", allowed is an integer from 1 to " + std::to_string(kMaxDeadlineMs));
+  }
+  if (work.importance < 0 || work.importance > kMaxImportance) {
+    return Fail(Code::kInvalidValue, ref,
+                "importance is " + std::to_string(work.importance) +
+                    ", allowed is an integer from 0 to " + std::to_string(kMaxImportance));
+  }
+  return {};
+}
+
+tl::expected<void, ConfigError> ValidateValues(const Route& route) {
+  ResourceRef ref{ResourceType::kRoute, route.name};
+  if (!IsPathPrefix(route.path_prefix)) {
+    return Fail(Code::kInvalidValue, ref, "path_prefix is not allowed");
+  }
+  if (!IsConfigName(route.service)) return Fail(Code::kInvalidValue, ref, "service is not a name");
+  if (!IsConfigName(route.work)) return Fail(Code::kInvalidValue, ref, "work is not a name");
+  return {};
+}
+
+std::string_view TypeName(ResourceType type) {
+  switch (type) {
+    case ResourceType::kService:
+      return "service";
+    case ResourceType::kWorkKind:
+      return "work";
+    case ResourceType::kRoute:
+      return "route";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+ResourceRef RefOf(const Resource& resource) {
+  struct Visitor {
+    ResourceRef operator()(const Service& r) const { return {ResourceType::kService, r.name}; }
+    ResourceRef operator()(const WorkKind& r) const { return {ResourceType::kWorkKind, r.name}; }
+    ResourceRef operator()(const Route& r) const { return {ResourceType::kRoute, r.name}; }
+  };
+  return std::visit(Visitor{}, resource);
+}
+
+std::string ToString(const ResourceRef& ref) {
+  return std::string(TypeName(ref.type)) + "/" + ref.name;
+}
+
+std::string_view ToString(ConfigError::Code code) {
+  switch (code) {
+    case Code::kAlreadyExists:
+      return "already_exists";
+    case Code::kNotFound:
+      return "not_found";
+    case Code::kDanglingReference:
+      return "dangling_reference";
+    case Code::kDuplicate:
+      return "duplicate";
+    case Code::kInvalidValue:
+      return "invalid_value";
+  }
+  return "unknown";
+}
+
+bool IsConfigName(std::string_view text) {
+  if (text.empty() || text.size() > kMaxNameLength) return false;
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  });
+}
+
+bool IsPathPrefix(std::string_view text) {
+  if (text.empty() || text.front() != '/' || text.size() > kMaxPathPrefixLength) return false;
+  return std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c <= '~' && c != '?' && c != '#'; });
+}
+
+tl::expected<void, ConfigError> ValidateResource(const Resource& resource) {
+  ResourceRef ref = RefOf(resource);
+  if (!IsConfigName(ref.name)) {
+    return Fail(Code::kInvalidValue, ref, "allowed is a name of 1 to 63 characters a-z, 0-9 and -");
+  }
+  return std::visit([](const auto& r) { return ValidateValues(r); }, resource);
+}
+
+std::vector<ResourceRef> TouchedBy(const ReleaseNote& note) {
+  std::vector<ResourceRef> refs = note.withdrawn;
+  for (const Resource& resource : note.added) refs.push_back(RefOf(resource));
+  for (const Resource& resource : note.changed) refs.push_back(RefOf(resource));
+  std::sort(refs.begin(), refs.end());
+  return refs;
+}
+
+tl::expected<void, ConfigError> ValidateNote(const ReleaseNote& note) {
+  auto invalid = [](const std::string& message) {
+    return tl::make_unexpected(ConfigError{Code::kInvalidValue, {}, message});
+  };
+  if (!IsConfigName(note.id)) {
+    return invalid("id: allowed is a name of 1 to 63 characters a-z, 0-9 and -");
+  }
+  if (!IsText(note.author)) return invalid("author is over 1000 bytes");
+  if (!IsText(note.summary)) return invalid("summary is over 1000 bytes");
+  std::vector<ResourceRef> touched = TouchedBy(note);
+  if (touched.empty()) return invalid("the note adds, changes and withdraws nothing");
+  auto twice = std::adjacent_find(touched.begin(), touched.end());
+  if (twice != touched.end()) {
+    return Fail(Code::kDuplicate, *twice, "named more than once in the note");
+  }
+  for (const auto* list : {&note.added, &note.changed}) {
+    for (const Resource& resource : *list) {
+      if (auto valid = ValidateResource(resource); !valid) return valid;
+    }
+  }
+  for (const ResourceRef& ref : note.withdrawn) {
+    if (!IsConfigName(ref.name)) return Fail(Code::kInvalidValue, ref, "not a name");
+  }
+  return {};
+}
+
+const Service* ConfigTable::FindService(std::string_view name) const {
+  auto it = m_services.find(name);
+  return it == m_services.end() ? nullptr : &it->second;
+}
+
+const WorkKind* ConfigTable::FindWorkKind(std::string_view name) const {
+  auto it = m_work_kinds.find(name);
+  return it == m_work_kinds.end() ? nullptr : &it->second;
+}
+
+const Route* ConfigTable::MatchRoute(std::string_view path) const {
+  const Route* best = nullptr;
+  for (const auto& [name, route] : m_routes) {
+    if (!path.starts_with(route.path_prefix)) continue;
+    if (best == nullptr || route.path_prefix.size() > best->path_prefix.size()) best = &route;
+  }
+  return best;
+}
+
+tl::expected<void, ConfigError> ConfigTable::Validate() const {
+  for (const Resource& resource : Resources()) {
+    if (auto valid = ValidateResource(resource); !valid) return valid;
+  }
+  std::map<std::string_view, std::string_view> prefixes;
+  for (const auto& [name, route] : m_routes) {
+    ResourceRef ref{ResourceType::kRoute, name};
+    if (FindService(route.service) == nullptr) {
+      return Fail(Code::kDanglingReference, ref, "service/" + route.service + " does not exist");
+    }
+    if (FindWorkKind(route.work) == nullptr) {
+      return Fail(Code::kDanglingReference, ref, "work/" + route.work + " does not exist");
+    }
+    auto [other, inserted] = prefixes.emplace(route.path_prefix, name);
+    if (!inserted) {
+      return Fail(Code::kDuplicate, ref,
+                  "path_prefix " + route.path_prefix + " is already that of route/" +
+                      std::string(other->second));
+    }
+  }
+  return {};
+}
+
+bool ConfigTable::Contains(const ResourceRef& ref) const {
+  switch (ref.type) {
+    case ResourceType::kService:
+      return m_services.contains(ref.name);
+    case ResourceType::kWorkKind:
+      return m_work_kinds.contains(ref.name);
+    case ResourceType::kRoute:
+      return m_routes.contains(ref.name);
+  }
+  return false;
+}
+
+void ConfigTable::Put(const Resource& resource) {
+  struct Visitor {
+    ConfigTable& table;
+    void operator()(const Service& r) const { table.m_services[r.name] = r; }
+    void operator()(const WorkKind& r) const { table.m_work_kinds[r.name] = r; }
+    void operator()(const Route& r) const { table.m_routes[r.name] = r; }
+  };
+  std::visit(Visitor{*this}, resource);
+}
+
+void ConfigTable::Erase(const ResourceRef& ref) {
+  switch (ref.type) {
+    case ResourceType::kService:
+      m_services.erase(ref.name);
+      break;
+    case ResourceType::kWorkKind:
+      m_work_kinds.erase(ref.name);
+      break;
+    case ResourceType::kRoute:
+      m_routes.erase(ref.name);
+      break;
+  }
+}
+
+tl::expected<ConfigTable, ConfigError> ConfigTable::Apply(const ReleaseNote& note) const {
+  if (auto valid = ValidateNote(note); !valid) return tl::make_unexpected(valid.error());
+  ConfigTable next = SkipVersion();
+  for (const Resource& resource : note.added) {
+    ResourceRef ref = RefOf(resource);
+    if (Contains(ref)) return Fail(Code::kAlreadyExists, ref, "added, but already exists");
+    next.Put(resource);
+  }
+  for (const Resource& resource : note.changed) {
+    ResourceRef ref = RefOf(resource);
+    if (!Contains(ref)) return Fail(Code::kNotFound, ref, "changed, but does not exist");
+    next.Put(resource);
+  }
+  for (const ResourceRef& ref : note.withdrawn) {
+    if (!Contains(ref)) return Fail(Code::kNotFound, ref, "withdrawn, but does not exist");
+    next.Erase(ref);
+  }
+  if (auto valid = next.Validate(); !valid) return tl::make_unexpected(valid.error());
+  return next;
+}
+
+ConfigTable ConfigTable::SkipVersion() const {
+  ConfigTable next = *this;
+  ++next.m_version;
+  return next;
+}
+
+tl::expected<ConfigTable, ConfigError> ConfigTable::FromResources(
+    uint64_t version, const std::vector<Resource>& resources) {
+  ConfigTable table;
+  table.m_version = version;
+  for (const Resource& resource : resources) {
+    ResourceRef ref = RefOf(resource);
+    if (table.Contains(ref)) return Fail(Code::kDuplicate, ref, "listed more than once");
+    table.Put(resource);
+  }
+  if (auto valid = table.Validate(); !valid) return tl::make_unexpected(valid.error());
+  return table;
+}
+
+std::vector<Resource> ConfigTable::Resources() const {
+  std::vector<Resource> resources;
+  resources.reserve(m_services.size() + m_work_kinds.size() + m_routes.size());
+  for (const auto& [name, service] : m_services) resources.emplace_back(service);
+  for (const auto& [name, work] : m_work_kinds) resources.emplace_back(work);
+  for (const auto& [name, route] : m_routes) resources.emplace_back(route);
+  return resources;
+}
+
+}  // namespace guavatrail
--- a/src/config_table.h
+++ b/src/config_table.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -56,7 +57,11 @@
 struct ResourceRef {
   ResourceType type = ResourceType::kService;
   std::string name;
-  auto operator<=>(const ResourceRef&) const = default;
+  bool operator==(const ResourceRef&) const = default;
+  // Not a defaulted <=>: clang-tidy 14 reports modernize-use-nullptr inside it.
+  bool operator<(const ResourceRef& other) const {
+    return std::tie(type, name) < std::tie(other.type, other.name);
+  }
 };
 
 ResourceRef RefOf(const Resource& resource);
@@ -82,6 +87,29 @@
   std::string message;
 };
 
+// "already_exists", "not_found", "dangling_reference", "duplicate" or "invalid_value".
+std::string_view ToString(ConfigError::Code code);
+
+// Limits on values, shared by the parser of notes and the checks of tables.
+inline constexpr size_t kMaxNameLength = 63;
+inline constexpr size_t kMaxTextLength = 1000;
+inline constexpr size_t kMaxPathPrefixLength = 255;
+inline constexpr int64_t kMaxDeadlineMs = 600'000;
+inline constexpr int kMaxImportance = 3;
+
+// 1 to 63 characters a-z, 0-9 and -.
+bool IsConfigName(std::string_view text);
+// Starts with "/", followed by visible ASCII characters except "?" and "#"; at most 255 bytes.
+bool IsPathPrefix(std::string_view text);
+
+// Checks the values of one resource on its own, without its references.
+tl::expected<void, ConfigError> ValidateResource(const Resource& resource);
+// Checks what can be said of a note without a table: its id and texts, that it touches something
+// and nothing twice, and the values of its resources.
+tl::expected<void, ConfigError> ValidateNote(const ReleaseNote& note);
+// The resources that a note adds, changes or withdraws, sorted.
+std::vector<ResourceRef> TouchedBy(const ReleaseNote& note);
+
 // All resources at one version. Immutable once shared.
 class ConfigTable {
  public:
@@ -100,8 +128,8 @@
   tl::expected<void, ConfigError> Validate() const;
 
   // The table after `note` at version() + 1. Fails, with nothing changed, when the note adds what
-  // exists, changes or withdraws what does not, names a resource twice, or leaves a dangling
-  // reference.
+  // exists, changes or withdraws what does not, names a resource twice, leaves a dangling
+  // reference, or is not valid in itself.
   tl::expected<ConfigTable, ConfigError> Apply(const ReleaseNote& note) const;
 
   // The same resources at version() + 1: the result of a note that was refused.
@@ -112,7 +140,13 @@
       uint64_t version, const std::vector<Resource>& resources);
   std::vector<Resource> Resources() const;
 
+  bool operator==(const ConfigTable&) const = default;
+
  private:
+  bool Contains(const ResourceRef& ref) const;
+  void Put(const Resource& resource);
+  void Erase(const ResourceRef& ref);
+
   uint64_t m_version = 0;
   std::map<std::string, Service, std::less<>> m_services;
   std::map<std::string, WorkKind, std::less<>> m_work_kinds;
--- /dev/null
+++ b/src/release_note.h
@@ -0,0 +1,41 @@
+// Defines the functions that parse release notes, as operators write them in TOML, into
+// ReleaseNote.
+//
+//   id = "manuais-2"
+//   author = "..."
+//   summary = "..."
+//   [[add]]
+//   type = "route"
+//   name = "manuais"
+//   path_prefix = "/manuais"
+//   service = "manuais"
+//   work = "download"
+//   [[withdraw]]
+//   type = "service"
+//   name = "arquivo"
+//
+// Services have name, owner and objective; work kinds have name, deadline_ms, idempotent,
+// importance, length ("short" or "long") and key ("required" or "per_request"); routes have name,
+// path_prefix, service and work.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "config_table.h"
+
+namespace guavatrail {
+
+// Names the file, line and key of a fault in a note, what was found and what is allowed.
+struct NoteError {
+  std::string message;
+};
+
+// Parses and checks the text of a note; `file` is used in error messages only. The result passes
+// ValidateNote; whether it can be applied depends on the table.
+tl::expected<ReleaseNote, NoteError> ParseReleaseNote(std::string_view text, std::string_view file);
+// Reads and parses a file.
+tl::expected<ReleaseNote, NoteError> LoadReleaseNote(const std::string& path);
+
+}  // namespace guavatrail
