Add the encrypted control transport between nodes

Cause: nodes need membership and delivery messages with bounded memory, on the event loop, from holders of the fleet key only. Change: ControlTransport drives a ROUTER, one DEALER a peer and a ZAP handler from libevent; ControlMessage gains sender and receiver names, so that a message for a node whose address was used again is dropped instead of attributed to the wrong node. Conclusion: membership and delivery can be built on it.

--- /dev/null
+++ b/src/control_transport.h
@@ -0,0 +1,111 @@
+// Defines ControlTransport, the encrypted ZeroMQ messages between the control ports of nodes.
+//
+// Trust: all nodes hold one CURVE key pair, the fleet key. Nobody without it completes a handshake,
+// so nobody outside the fleet can send, receive or claim a name. A holder of the key can claim any
+// name; names keep honest nodes apart and are no defence against a member of the fleet.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "control.pb.h"
+#include "event_loop.h"
+#include "metrics.h"
+
+namespace guavatrail {
+
+// The largest encoded message in bytes, envelope included.
+inline constexpr size_t kMaxControlMessageBytes = 2'000'000;
+
+struct TransportOptions {
+  std::string node;  // Name of this node, sent as the routing id.
+  std::string ip;
+  uint16_t port = 0;
+  std::string public_key;  // Fleet key pair, Z85.
+  std::string secret_key;
+};
+
+struct TransportError {
+  std::string message;
+};
+
+// One ROUTER socket takes connections in, one DEALER socket per peer goes out. Messages are at most
+// once: one to an unreachable, slow or unknown peer is lost. Handlers run on the loop, never inside
+// Send().
+class ControlTransport {
+ public:
+  using Handler = std::function<void(std::string_view node, const pb::ControlMessage& message)>;
+
+  ControlTransport(EventLoop& loop, TransportOptions options, Metrics& metrics);
+  ~ControlTransport();
+  ControlTransport(const ControlTransport&) = delete;
+  ControlTransport& operator=(const ControlTransport&) = delete;
+
+  // Must be set before Listen(). The handler may connect, disconnect and send.
+  void SetHandler(Handler handler) { m_handler = std::move(handler); }
+  // Fails when a key is not valid or the address cannot be bound.
+  tl::expected<void, TransportError> Listen();
+
+  // Opens a connection to the node at `address`, "IP:PORT"; one to another address is replaced.
+  void Connect(std::string_view node, std::string_view address);
+  // Opens a connection to a node whose name is not known; `address` is then used as its name in
+  // Send(), Reconnect() and Disconnect(). Answers arrive under the name that the node gives.
+  void ConnectContact(std::string_view address);
+  // Replaces the connection by a new one. An open connection may be silent for good while new ones
+  // work, and ZeroMQ does not notice.
+  void Reconnect(std::string_view node);
+  void Disconnect(std::string_view node);
+  bool IsConnected(std::string_view node) const;
+
+  // Uses the outgoing connection, or else one that the node opened. False when the message was
+  // dropped at once: no connection, a full queue, or over kMaxControlMessageBytes.
+  bool Send(std::string_view node, const pb::ControlMessage& message);
+
+ private:
+  struct Socket;
+  struct ContextDeleter {
+    void operator()(void* context) const;
+  };
+  struct Counters {
+    Counter& messages_in;
+    Counter& messages_out;
+    Counter& bytes_in;
+    Counter& bytes_out;
+    Counter& undecodable;
+    Counter& oversized;
+    Counter& rejected;
+    Counter& misaddressed;
+    Counter& dropped;
+    Counter& disconnects;
+  };
+
+  std::shared_ptr<Socket> OpenSocket(int type, void (ControlTransport::*drain)(Socket&));
+  bool SetKeys(Socket& socket, bool is_server);
+  tl::expected<void, TransportError> ListenForAuthentication();
+  tl::expected<void, TransportError> ListenForEvents();
+  void Open(std::string_view peer, std::string_view node, std::string_view address);
+  void Watch(const std::shared_ptr<Socket>& socket);
+  static void OnReadable(int fd, short what, void* arg);
+  void DrainRouter(Socket& socket);
+  void DrainDealer(Socket& socket);
+  void DrainAuthentication(Socket& socket);
+  void DrainEvents(Socket& socket);
+  void Deliver(std::string_view expected_sender, std::string_view payload);
+
+  EventLoop& m_loop;
+  TransportOptions m_options;
+  Counters m_counters;
+  Handler m_handler;
+  std::unique_ptr<void, ContextDeleter> m_context;
+  std::shared_ptr<Socket> m_authentication;
+  std::shared_ptr<Socket> m_events;
+  std::shared_ptr<Socket> m_router;
+  std::map<std::string, std::shared_ptr<Socket>, std::less<>> m_dealers;
+};
+
+}  // namespace guavatrail
