--- a/src/admission.h
+++ b/src/admission.h
@@ -2,10 +2,10 @@
 // server now, which wait, and which are refused as not run. Pure: clock and events are handed in.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -77,12 +77,8 @@
   int64_t PredictedDrainUs(int64_t now_us) const;
 
  private:
-  struct Rank {
-    int unimportance = 0;
-    int64_t deadline_us = 0;
-    uint64_t sequence = 0;
-    auto operator<=>(const Rank&) const = default;
-  };
+  // Negated importance, deadline, sequence number: the order of the queue.
+  using Rank = std::tuple<int, int64_t, uint64_t>;
   struct Running {
     bool is_short = true;
     int64_t start_us = 0;
--- /dev/null
+++ b/src/burn.h
@@ -0,0 +1,122 @@
+// Defines BurnRecorder, which counts calls by service, kind and outcome, and the service-level burn
+// that follows from the counts of one or many nodes.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <utility>
+#include <vector>
+
+#include "metrics.h"
+
+namespace guavatrail {
+
+enum class CallOutcome {
+  kGood,        // Whole answer within the deadline.
+  kRefused,     // Not run.
+  kLate,        // Whole answer after the deadline.
+  kUnknown,     // No answer; the call may have run.
+  kIncomplete,  // The answer broke off.
+};
+inline constexpr size_t kCallOutcomes = 5;
+
+// "good", "refused", "late", "unknown" or "incomplete".
+std::string_view ToString(CallOutcome outcome);
+
+struct BurnCounts {
+  std::array<uint64_t, kCallOutcomes> by_outcome{};
+
+  uint64_t Of(CallOutcome outcome) const { return by_outcome[static_cast<size_t>(outcome)]; }
+  uint64_t Total() const;
+  uint64_t Bad() const { return Total() - Of(CallOutcome::kGood); }
+};
+
+// Calls of a stretch of time. The latencies are those of whole answers, good or late.
+struct BurnWindow {
+  BurnCounts counts;
+  LatencyHistogram latency;
+  void Merge(const BurnWindow& other);
+};
+
+struct BurnEntry {
+  BurnWindow total;  // Since the node started.
+  BurnWindow fast;   // The last 5 minutes.
+  BurnWindow slow;   // The last hour.
+  void Merge(const BurnEntry& other);
+};
+
+// Service and work kind.
+using BurnKey = std::pair<std::string, std::string>;
+
+struct NodeBurn {
+  std::string node;
+  std::map<BurnKey, BurnEntry> entries;
+};
+
+// Windows are made of slices of 30 s; a window contains the current slice, so it may be up to one
+// slice shorter than its name. Not thread-safe.
+class BurnRecorder {
+ public:
+  // `latency_us` counts for good and late calls only; `now_us` is monotonic.
+  void Record(std::string_view service, std::string_view kind, CallOutcome outcome,
+              int64_t latency_us, int64_t now_us);
+  NodeBurn Snapshot(std::string_view node, int64_t now_us) const;
+
+ private:
+  struct Slice {
+    int64_t index = 0;  // Time divided by the length of a slice.
+    BurnWindow window;
+  };
+  struct Series {
+    BurnWindow total;
+    std::deque<Slice> slices;  // Without the empty ones; oldest first.
+  };
+  using Kinds = std::map<std::string, Series, std::less<>>;
+
+  std::map<std::string, Kinds, std::less<>> m_services;
+};
+
+// Names what is wrong with a burn document.
+struct BurnError {
+  std::string message;
+};
+
+// The document of the admin port.
+std::string ToJson(const NodeBurn& burn);
+tl::expected<NodeBurn, BurnError> ParseNodeBurn(std::string_view json);
+
+// A node that was asked for its burn, and its answer; empty if it could not be read.
+struct NodeReading {
+  std::string node;
+  std::optional<NodeBurn> burn;
+};
+
+struct MeshBurn {
+  std::map<BurnKey, BurnEntry> entries;
+  std::vector<std::string> nodes;    // Those that answered.
+  std::vector<std::string> missing;  // Those that did not; their calls are not counted.
+};
+
+MeshBurn MergeBurn(std::span<const NodeReading> readings);
+
+// The burn of a service against its objective, the share of calls that must be good.
+struct BurnBudget {
+  double objective = 0;
+  // Share of bad calls divided by the allowed share: 1 uses up the budget exactly.
+  double fast_rate = 0;
+  double slow_rate = 0;
+  // Share of the allowed bad calls since the nodes started that is left; negative when overdrawn.
+  double left = 1;
+};
+
+// `objective` must be in (0, 1).
+BurnBudget BudgetOf(const BurnEntry& entry, double objective);
+
+}  // namespace guavatrail
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -46,6 +46,8 @@
   int64_t BinEndUs(size_t i) const;
   // Adds `n` to bin i; for merging from a serialized form.
   void AddToBin(size_t i, uint64_t n);
+  // Adds to the sum of latencies, which AddToBin leaves as it is.
+  void AddToSum(int64_t sum_us) { m_sum_us += sum_us; }
   int64_t sum_us() const { return m_sum_us; }
 
  private:
