Bind outgoing control connections to the listening address

Cause: a forwarder or firewall between nodes could not tell which node a connection comes from. Change: the DEALER connects from listen.ip. Conclusion: cuts between two given nodes can be made in tests.

--- a/src/control_transport.cc
+++ b/src/control_transport.cc
@@ -253,8 +253,9 @@
   socket->address = address;
   SetCommonOptions(socket->handle);
   zmq_setsockopt(socket->handle, ZMQ_ROUTING_ID, m_options.node.data(), m_options.node.size());
-  if (!SetKeys(*socket, false) ||
-      zmq_connect(socket->handle, ZeroMqAddress(address).c_str()) != 0) {
+  // The listening address is the source, so that the peer's network can tell nodes apart.
+  std::string endpoint = ZeroMqAddress(m_options.ip + ":0;" + std::string(address));
+  if (!SetKeys(*socket, false) || zmq_connect(socket->handle, endpoint.c_str()) != 0) {
     LOG_EVERY_T(ERROR, kLogPeriodS)
         << "event=connect_failed node=" << node << " address=" << address << " error=\""
         << zmq_strerror(zmq_errno()) << '"';
