Add the control plane: joining, heartbeats, membership news and versions

Cause: a node needs one place that combines transport, membership, failure detection, overlay and delivery.

--- /dev/null
+++ b/src/control_plane.cc
@@ -0,0 +1,477 @@
+#include "control_plane.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <limits>
+
+#include "seed_list.h"
+
+namespace guavatrail {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// News that arrives within this time is passed on in one message.
+constexpr int64_t kNewsDelayMs = 20;
+// Keeps one message of news to about 12 KB, so that it does not delay heartbeats.
+constexpr size_t kNewsBatch = 100;
+// A storm of changes rebuilds the overlay and the endpoint list once in this time.
+constexpr int64_t kRefreshDelayMs = 20;
+constexpr int64_t kLeaveMs = 500;
+constexpr int64_t kOnDemandIdleMs = 10'000;
+constexpr size_t kMaxOnDemand = 16;
+constexpr int64_t kContactMs = 2000;
+constexpr int64_t kProbeConflictMs = 5000;
+// Versions are sent in full to each neighbour once in about this many ticks, in case some were
+// lost.
+constexpr uint64_t kFullVersionsTicks = 60;
+constexpr int kLogPeriodS = 10;
+
+int64_t NowMs() { return EventLoop::NowUs() / 1000; }
+
+pb::MemberRecord OwnRecord(const Settings& settings) {
+  pb::MemberRecord record;
+  record.set_name(settings.node.name);
+  record.set_started_ms(static_cast<uint64_t>(EventLoop::WallMs()));
+  record.set_incarnation(record.started_ms());
+  record.set_service(settings.node.service);
+  record.set_region(settings.node.region);
+  record.set_data_centre(settings.node.data_centre);
+  record.set_ip(settings.listen.ip);
+  record.set_caller_port(static_cast<uint32_t>(settings.listen.caller_port));
+  record.set_peer_port(static_cast<uint32_t>(settings.listen.peer_port));
+  record.set_control_port(static_cast<uint32_t>(settings.listen.control_port));
+  record.set_admin_port(static_cast<uint32_t>(settings.listen.admin_port));
+  record.set_slots(static_cast<uint32_t>(settings.server.slots));
+  return record;
+}
+
+std::string AddressOf(const pb::MemberRecord& record) {
+  return record.ip() + ":" + std::to_string(record.control_port());
+}
+
+TransportOptions TransportOptionsOf(const Settings& settings) {
+  return {settings.node.name, settings.listen.ip,
+          static_cast<uint16_t>(settings.listen.control_port), settings.control.public_key,
+          settings.control.secret_key};
+}
+
+DetectorOptions DetectorOptionsOf(const Settings& settings) {
+  return {settings.node.name, settings.membership.heartbeat_ms,
+          settings.membership.missed_heartbeats, settings.membership.suspicion_ms};
+}
+
+JoinOptions JoinOptionsOf(const Settings& settings) {
+  return {settings.listen.ip + ":" + std::to_string(settings.listen.control_port),
+          settings.node.data_centre, settings.membership.seeds};
+}
+
+Endpoint EndpointOf(const pb::MemberRecord& record) {
+  Endpoint endpoint;
+  endpoint.node = record.name();
+  endpoint.incarnation = record.started_ms();
+  endpoint.service = record.service();
+  endpoint.region = record.region();
+  endpoint.data_centre = record.data_centre();
+  endpoint.ip = record.ip();
+  endpoint.peer_port = static_cast<uint16_t>(record.peer_port());
+  endpoint.admin_port = static_cast<uint16_t>(record.admin_port());
+  endpoint.slots = static_cast<int>(record.slots());
+  endpoint.draining = record.draining();
+  endpoint.state = static_cast<MemberState>(record.state());
+  endpoint.config_version = record.config_version();
+  return endpoint;
+}
+
+static_assert(static_cast<int>(MemberState::kLeft) == pb::MEMBER_LEFT);
+static_assert(static_cast<int>(MemberState::kDead) == pb::MEMBER_DEAD);
+static_assert(static_cast<int>(MemberState::kSuspect) == pb::MEMBER_SUSPECT);
+
+}  // namespace
+
+ControlPlane::ControlPlane(EventLoop& loop, const Settings& settings, PlatformClient& platform,
+                           Metrics& metrics, RandomSource& random)
+    : m_settings(settings),
+      m_random(random),
+      m_table(OwnRecord(settings)),
+      m_detector(DetectorOptionsOf(settings)),
+      m_transport(loop, TransportOptionsOf(settings), metrics),
+      m_delivery(loop, settings, m_table.self().started_ms(), platform, metrics, random,
+                 MakeDeliveryPorts()),
+      m_joiner(loop, JoinOptionsOf(settings), platform, random, MakeJoinPorts()),
+      m_invalid_records(metrics.GetCounter("control_invalid_records_total")),
+      m_exchanges(metrics.GetCounter("control_member_exchanges_total")),
+      m_suspicions(metrics.GetCounter("control_suspicions_total")),
+      m_deaths(metrics.GetCounter("control_deaths_total")),
+      m_live_members(metrics.GetGauge("control_live_members")),
+      m_heartbeat_timer(loop, [this] { Heartbeat(); }),
+      m_tick_timer(loop, [this] { Tick(); }),
+      m_news_timer(loop, [this] { SendNews(); }),
+      m_refresh_timer(loop, [this] { Refresh(); }),
+      m_open_timer(loop, [this] { OpenDue(); }),
+      m_leave_timer(loop, [this] {
+        // The handler may destroy this object.
+        std::function<void()> left = std::move(m_left);
+        if (left) left();
+      }) {
+  m_transport.SetHandler([this](std::string_view from, const pb::ControlMessage& message) {
+    OnMessage(from, message);
+  });
+}
+
+ControlPlane::~ControlPlane() = default;
+
+tl::expected<void, ControlError> ControlPlane::Start() {
+  if (!IsValidRecord(m_table.self())) {
+    return tl::make_unexpected(ControlError{
+        "node and listen settings make no valid member record; listen.ip must be IPv4"});
+  }
+  if (auto done = m_transport.Listen(); !done) {
+    return tl::make_unexpected(ControlError{done.error().message});
+  }
+  Refresh();
+  m_delivery.Start();
+  m_joiner.Start();
+  // Nodes that start together must not stay in step.
+  m_heartbeat_timer.Start(
+      milliseconds(m_random.Below(static_cast<uint64_t>(m_settings.membership.heartbeat_ms))));
+  m_tick_timer.Start(
+      milliseconds(m_random.Below(static_cast<uint64_t>(m_settings.membership.heartbeat_ms))));
+  return {};
+}
+
+void ControlPlane::SetDraining(bool draining) {
+  m_table.SetSelfDraining(draining);
+  OnTableChanged();
+}
+
+void ControlPlane::Leave(std::function<void()> done) {
+  m_left = std::move(done);
+  if (m_is_leaving) return;
+  m_is_leaving = true;
+  m_joiner.Stop();
+  m_table.LeaveSelf(NowMs());
+  m_heartbeat_timer.Cancel();
+  m_tick_timer.Cancel();
+  m_refresh_timer.Cancel();
+  m_open_timer.Cancel();
+  if (!m_table.IsInConflict()) SendNews();
+  // Messages to one node arrive in order, so an acknowledged heartbeat shows that the news before
+  // it has arrived.
+  m_unacknowledged.insert(m_neighbours.begin(), m_neighbours.end());
+  for (const std::string& node : m_neighbours) SendHeartbeat(node);
+  m_leave_timer.Start(milliseconds(m_unacknowledged.empty() ? 0 : kLeaveMs));
+}
+
+MeshView ControlPlane::view() {
+  return {[this]() -> std::shared_ptr<const ConfigTable> {
+            return m_table.IsInConflict() ? nullptr : m_delivery.table();
+          },
+          [this] { return m_endpoints; }};
+}
+
+std::vector<pb::MemberRecord> ControlPlane::Members() const { return m_table.ExportAll(NowMs()); }
+
+int64_t ControlPlane::Jittered(int64_t ms) {
+  return ms * 9 / 10 + static_cast<int64_t>(m_random.Below(static_cast<uint64_t>(ms / 5 + 1)));
+}
+
+void ControlPlane::Heartbeat() {
+  m_heartbeat_timer.Start(milliseconds(Jittered(m_settings.membership.heartbeat_ms)));
+  if (m_table.IsInConflict()) return;
+  for (const std::string& node : m_successors) SendHeartbeat(node);
+}
+
+void ControlPlane::SendHeartbeat(const std::string& node) {
+  pb::ControlMessage message;
+  pb::Heartbeat& heartbeat = *message.mutable_heartbeat();
+  heartbeat.set_sequence(++m_sequence);
+  heartbeat.set_incarnation(m_table.self().incarnation());
+  heartbeat.set_config_version(m_table.self().config_version());
+  heartbeat.set_member_digest(m_table.Digest());
+  heartbeat.set_head_age_ms(static_cast<uint32_t>(
+      std::clamp<int64_t>(m_delivery.HeadAgeMs(), 0, std::numeric_limits<uint32_t>::max())));
+  m_transport.Send(node, message);
+}
+
+void ControlPlane::Tick() {
+  m_tick_timer.Start(milliseconds(Jittered(m_settings.membership.heartbeat_ms / 2)));
+  m_table.ForgetGone(NowMs());
+  CloseIdle();
+  if (m_table.IsInConflict()) {
+    ProbeConflict();
+    return;
+  }
+  Detect();
+  SendVersions();
+  if (m_endpoints_clock != m_table.version_clock()) RefreshEndpoints();
+}
+
+void ControlPlane::Detect() {
+  DetectorDecisions decisions = m_detector.Tick(NowMs());
+  for (const std::string& node : decisions.silent) {
+    // A whole group of nodes may become reachable again at once.
+    OpenLater(node, m_settings.membership.heartbeat_ms / 2, true);
+  }
+  for (const NodeLifetime& node : decisions.suspected) Report(node);
+  for (const NodeLifetime& node : decisions.dead) {
+    if (!m_table.Accuse(node.name, node.incarnation, pb::MEMBER_DEAD, NowMs())) continue;
+    m_deaths.Add();
+    LOG(WARNING) << "event=node_dead node=" << node.name << " incarnation=" << node.incarnation;
+  }
+  OnTableChanged();
+}
+
+void ControlPlane::Report(const NodeLifetime& node) {
+  m_suspicions.Add();
+  m_table.Accuse(node.name, node.incarnation, pb::MEMBER_SUSPECT, NowMs());
+  auto record = m_table.Export(node.name, NowMs());
+  if (!record || record->state() != pb::MEMBER_SUSPECT) return;
+  LOG(INFO) << "event=node_suspected node=" << node.name << " incarnation=" << node.incarnation;
+  pb::ControlMessage message;
+  *message.mutable_member_news()->add_members() = *record;
+  message.mutable_member_news()->set_suspected_by(m_settings.node.name);
+  SendToNeighbours(message, "");
+  // The node may be reachable by another way than the one that is silent.
+  SendTo(node.name, message);
+}
+
+void ControlPlane::SendVersions() {
+  for (const std::string& node : m_neighbours) {
+    Peer& peer = m_peers[node];
+    if (m_random.Below(kFullVersionsTicks) == 0) peer.versions_sent = 0;
+    if (peer.has_same_digest && peer.versions_sent != m_table.version_clock()) {
+      SendVersions(node, peer);
+    }
+  }
+}
+
+void ControlPlane::SendVersions(const std::string& node, Peer& peer) {
+  pb::ControlMessage message;
+  *message.mutable_member_versions() = m_table.VersionsSince(peer.versions_sent);
+  bool has_news = message.member_versions().groups_size() > 0;
+  if (!has_news || m_transport.Send(node, message)) peer.versions_sent = m_table.version_clock();
+}
+
+void ControlPlane::CloseIdle() {
+  int64_t now_ms = NowMs();
+  std::erase_if(m_on_demand, [&](const auto& item) {
+    if (now_ms - item.second < kOnDemandIdleMs) return false;
+    m_transport.Disconnect(item.first);
+    return true;
+  });
+  std::erase_if(m_contacts, [&](const auto& item) {
+    if (now_ms - item.second < kContactMs) return false;
+    m_transport.Disconnect(item.first);
+    return true;
+  });
+}
+
+// Asks a random member whether the process that holds this node's name is still alive.
+void ControlPlane::ProbeConflict() {
+  LOG_EVERY_T(ERROR, kLogPeriodS)
+      << "event=name_conflict node=" << m_settings.node.name
+      << " detail=\"another live process has this name and a higher incarnation; refusing work\"";
+  if (NowMs() < m_next_probe_ms) return;
+  m_next_probe_ms = NowMs() + Jittered(kProbeConflictMs);
+  std::vector<std::string> names = m_table.LiveNames();
+  std::erase(names, m_settings.node.name);
+  if (names.empty()) return;
+  Contact(AddressOf(*m_table.Find(names[m_random.Below(names.size())])));
+}
+
+void ControlPlane::OnTableChanged() {
+  if (!m_news_timer.IsPending()) {
+    m_news_timer.Start(milliseconds(m_random.Below(kNewsDelayMs)));
+  }
+}
+
+// Floods changed records once: a record changes once at each node for each incarnation and state.
+void ControlPlane::SendNews() {
+  std::vector<std::string> changed = m_table.TakeChanged();
+  if (changed.empty()) return;
+  for (const std::string& name : changed) {
+    const pb::MemberRecord* record = m_table.Find(name);
+    if (record != nullptr && record->state() != pb::MEMBER_SUSPECT) m_detector.ClearSuspicion(name);
+  }
+  for (const std::string& node : m_neighbours) {
+    pb::ControlMessage message;
+    for (const std::string& name : changed) {
+      auto record = m_table.Export(name, NowMs());
+      auto source = m_news_sources.find(name);
+      bool came_from_it = source != m_news_sources.end() && source->second == node;
+      // Suspicions travel as reports with the name of the monitor.
+      if (!record || came_from_it || record->state() == pb::MEMBER_SUSPECT) continue;
+      *message.mutable_member_news()->add_members() = std::move(*record);
+      if (message.member_news().members_size() < static_cast<int>(kNewsBatch)) continue;
+      m_transport.Send(node, message);
+      message.Clear();
+    }
+    if (message.has_member_news()) m_transport.Send(node, message);
+  }
+  m_news_sources.clear();
+  if (!m_is_leaving && !m_refresh_timer.IsPending()) {
+    m_refresh_timer.Start(milliseconds(kRefreshDelayMs));
+  }
+}
+
+void ControlPlane::Refresh() {
+  m_overlay = Overlay(m_table.LiveNames(), static_cast<int>(m_settings.membership.rings));
+  bool takes_part = !m_table.IsInConflict();
+  m_successors = takes_part ? m_overlay.Successors(m_settings.node.name) : decltype(m_successors){};
+  m_neighbours = takes_part ? m_overlay.Neighbours(m_settings.node.name) : decltype(m_neighbours){};
+  m_live_members.Set(static_cast<double>(m_overlay.size()));
+  std::erase_if(m_peers, [this](const auto& item) {
+    return std::find(m_neighbours.begin(), m_neighbours.end(), item.first) == m_neighbours.end();
+  });
+  // Positions in the name order have changed, so a neighbour may have dropped the last versions.
+  for (auto& [name, peer] : m_peers) peer.versions_sent = 0;
+  RefreshConnections();
+  RefreshMonitored();
+  RefreshEndpoints();
+  m_delivery.OnMembershipChanged();
+}
+
+void ControlPlane::RefreshConnections() {
+  auto is_successor = [this](const std::string& node) {
+    return std::find(m_successors.begin(), m_successors.end(), node) != m_successors.end();
+  };
+  std::erase_if(m_due_connections, [&](const auto& item) { return !is_successor(item.first); });
+  std::erase_if(m_connected_lifetimes, [&](const auto& item) {
+    const pb::MemberRecord* record = m_table.Find(item.first);
+    bool is_live = record != nullptr && IsLive(*record);
+    if (is_live && (is_successor(item.first) || m_on_demand.count(item.first) != 0)) return false;
+    m_on_demand.erase(item.first);
+    m_transport.Disconnect(item.first);
+    return true;
+  });
+  for (const std::string& node : m_successors) {
+    m_on_demand.erase(node);
+    const pb::MemberRecord* record = m_table.Find(node);
+    auto known = m_connected_lifetimes.find(node);
+    bool is_current = known != m_connected_lifetimes.end() &&
+                      known->second == record->started_ms() && m_transport.IsConnected(node);
+    if (!is_current) OpenLater(node, m_settings.membership.heartbeat_ms / 10, true);
+  }
+}
+
+void ControlPlane::RefreshMonitored() {
+  std::vector<MonitoredNode> monitored;
+  for (const std::string& node : m_successors) {
+    monitored.push_back(
+        {node, m_table.Find(node)->incarnation(), m_overlay.Predecessors(node).size()});
+  }
+  m_detector.SetMonitored(monitored, NowMs());
+}
+
+void ControlPlane::RefreshEndpoints() {
+  std::vector<Endpoint> endpoints;
+  endpoints.reserve(m_table.size());
+  m_table.ForEach([&](const pb::MemberRecord& record) { endpoints.push_back(EndpointOf(record)); });
+  m_endpoints = std::make_shared<const EndpointList>(std::move(endpoints));
+  m_endpoints_clock = m_table.version_clock();
+}
+
+void ControlPlane::OpenLater(const std::string& node, int64_t within_ms, bool replace) {
+  if (m_due_connections.count(node) != 0) return;
+  int64_t delay_ms = static_cast<int64_t>(m_random.Below(static_cast<uint64_t>(within_ms + 1)));
+  m_due_connections[node] = {NowMs() + delay_ms, replace};
+  if (!m_open_timer.IsPending()) m_open_timer.Start(milliseconds(delay_ms));
+}
+
+void ControlPlane::OpenDue() {
+  int64_t now_ms = NowMs();
+  int64_t next_ms = std::numeric_limits<int64_t>::max();
+  std::erase_if(m_due_connections, [&](const auto& item) {
+    const auto& [node, due] = item;
+    if (due.due_ms > now_ms) {
+      next_ms = std::min(next_ms, due.due_ms);
+      return false;
+    }
+    const pb::MemberRecord* record = m_table.Find(node);
+    if (record == nullptr) return true;
+    if (due.replace) m_transport.Disconnect(node);
+    m_transport.Connect(node, AddressOf(*record));
+    m_connected_lifetimes[node] = record->started_ms();
+    SendHeartbeat(node);
+    return true;
+  });
+  if (!m_due_connections.empty()) m_open_timer.Start(milliseconds(next_ms - now_ms));
+}
+
+void ControlPlane::Contact(const std::string& address) {
+  if (address == AddressOf(m_table.self()) || m_is_leaving) return;
+  m_transport.ConnectContact(address);
+  m_contacts[address] = NowMs();
+  pb::ControlMessage message;
+  *message.mutable_join_request()->mutable_self() = m_table.self();
+  m_transport.Send(address, message);
+}
+
+AddressState ControlPlane::StateOf(const std::string& address) const {
+  AddressState state = AddressState::kUnknown;
+  m_table.ForEach([&](const pb::MemberRecord& record) {
+    if (AddressOf(record) != address || state == AddressState::kLive) return;
+    state = IsLive(record) ? AddressState::kLive : AddressState::kGone;
+  });
+  return state;
+}
+
+bool ControlPlane::ShouldBeSeed() const {
+  if (m_table.IsInConflict() || m_is_leaving || m_table.self().draining()) return false;
+  std::vector<std::string> names;
+  m_table.ForEach([&](const pb::MemberRecord& record) {
+    bool is_here = record.data_centre() == m_settings.node.data_centre;
+    if (IsLive(record) && is_here) names.push_back(record.name());
+  });
+  std::vector<std::string> top =
+      RendezvousTop(SeedKey(m_settings.node.data_centre), std::move(names), kMaxSeeds);
+  return std::find(top.begin(), top.end(), m_settings.node.name) != top.end();
+}
+
+bool ControlPlane::SendTo(std::string_view node, const pb::ControlMessage& message) {
+  auto used = m_on_demand.find(node);
+  if (used != m_on_demand.end()) used->second = NowMs();
+  if (m_transport.Send(node, message)) return true;
+  const pb::MemberRecord* record = m_table.Find(node);
+  bool is_usable = record != nullptr && IsLive(*record) && node != m_settings.node.name;
+  if (!is_usable || m_transport.IsConnected(node) || m_on_demand.size() >= kMaxOnDemand) {
+    return false;
+  }
+  m_on_demand[std::string(node)] = NowMs();
+  m_connected_lifetimes[std::string(node)] = record->started_ms();
+  m_transport.Connect(node, AddressOf(*record));
+  return m_transport.Send(node, message);
+}
+
+void ControlPlane::SendToNeighbours(const pb::ControlMessage& message, std::string_view except) {
+  for (const std::string& node : m_neighbours) {
+    if (node != except) m_transport.Send(node, message);
+  }
+}
+
+DeliveryPorts ControlPlane::MakeDeliveryPorts() {
+  DeliveryPorts ports;
+  ports.send = [this](std::string_view node, const pb::ControlMessage& message) {
+    SendTo(node, message);
+  };
+  ports.neighbours = [this] { return m_neighbours; };
+  ports.members = [this] {
+    std::vector<pb::MemberRecord> members = Members();
+    std::erase_if(members,
+                  [this](const auto& record) { return record.name() == m_settings.node.name; });
+    return members;
+  };
+  ports.in_force = [this](uint64_t version) { m_table.SetSelfVersion(version); };
+  return ports;
+}
+
+JoinPorts ControlPlane::MakeJoinPorts() {
+  return {[this](const std::string& address) { Contact(address); },
+          [this](const std::string& address) { return StateOf(address); },
+          [this] { return m_overlay.size(); }, [this] { return ShouldBeSeed(); }};
+}
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/control_plane.h
@@ -0,0 +1,167 @@
+// Defines ControlPlane, which combines transport, membership, failure detection, overlay and
+// delivery into one node's part of the mesh.
+//
+// Age of a version in another node's record: each node passes changed versions on to its overlay
+// neighbours every half heartbeat period (at most 0.55 periods with jitter), so a change is known
+// everywhere after at most diameter x 0.55 heartbeat periods while no message is lost, and after 30
+// periods more when one is.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "control_transport.h"
+#include "delivery_agent.h"
+#include "event_loop.h"
+#include "failure_detector.h"
+#include "joiner.h"
+#include "member_table.h"
+#include "mesh_view.h"
+#include "metrics.h"
+#include "overlay.h"
+#include "platform_client.h"
+#include "random_source.h"
+#include "settings.h"
+
+namespace guavatrail {
+
+struct ControlError {
+  std::string message;
+};
+
+class ControlPlane {
+ public:
+  // All arguments must outlive the control plane.
+  ControlPlane(EventLoop& loop, const Settings& settings, PlatformClient& platform,
+               Metrics& metrics, RandomSource& random);
+  ~ControlPlane();
+  ControlPlane(const ControlPlane&) = delete;
+  ControlPlane& operator=(const ControlPlane&) = delete;
+
+  // Commands.
+  // Fails when the control port cannot be opened or the settings make no valid member record.
+  tl::expected<void, ControlError> Start();
+  void SetDraining(bool draining);
+  // Announces that the node leaves and stops taking part. Calls `done` from the loop when the
+  // neighbours have the news, after 500 ms at the latest.
+  void Leave(std::function<void()> done);
+
+  // Queries.
+  // The table is null while the version guard does not allow serving, and while another process
+  // holds this node's name. Must not be used after the control plane is gone.
+  MeshView view();
+  // All known records, this node's included.
+  std::vector<pb::MemberRecord> Members() const;
+  // Start time in ms since the epoch; constant, and equal to Endpoint::incarnation of this node.
+  // The incarnation in the member record starts there and is raised by refutation.
+  uint64_t incarnation() const { return m_table.self().started_ms(); }
+  bool IsInConflict() const { return m_table.IsInConflict(); }
+  const DeliveryAgent& delivery() const { return m_delivery; }
+
+ private:
+  // What is known of a peer from its heartbeats.
+  struct Peer {
+    bool has_same_digest = false;
+    int differing_heartbeats = 0;  // In a row.
+    uint64_t versions_sent = 0;    // Version clock of the last versions sent to it.
+  };
+  using Sender = std::string_view;
+
+  // Messages.
+  void OnMessage(Sender from, const pb::ControlMessage& message);
+  void OnHeartbeat(Sender from, const pb::Heartbeat& heartbeat);
+  void OnHeartbeatAck(Sender from, const pb::HeartbeatAck& ack);
+  void OnPeerState(Sender from, uint64_t incarnation, uint64_t version, uint64_t digest,
+                   int64_t head_age_ms);
+  void OnJoinRequest(Sender from, const pb::JoinRequest& request);
+  void OnMemberTable(Sender from, const pb::MemberTable& table);
+  void OnMemberNews(Sender from, const pb::MemberNews& news);
+  void OnMemberDigests(Sender from, const pb::MemberDigests& digests);
+  void Merge(Sender from, const pb::MemberRecord& record);
+  void OnReport(Sender from, const pb::MemberRecord& record, const std::string& reporter);
+  bool SendTo(std::string_view node, const pb::ControlMessage& message);
+  void SendToNeighbours(const pb::ControlMessage& message, std::string_view except);
+  void SendRecord(std::string_view node, std::string_view about);
+
+  // Timers.
+  void Heartbeat();
+  void SendHeartbeat(const std::string& node);
+  void Tick();
+  void Detect();
+  void Report(const NodeLifetime& node);
+  void SendVersions();
+  void SendVersions(const std::string& node, Peer& peer);
+  void CloseIdle();
+  void ProbeConflict();
+  void SendNews();
+  void Refresh();
+  void RefreshConnections();
+  void RefreshMonitored();
+  void RefreshEndpoints();
+  void OpenDue();
+  void OpenLater(const std::string& node, int64_t within_ms, bool replace);
+  void OnTableChanged();
+
+  void Contact(const std::string& address);
+  AddressState StateOf(const std::string& address) const;
+  bool ShouldBeSeed() const;
+  DeliveryPorts MakeDeliveryPorts();
+  JoinPorts MakeJoinPorts();
+  int64_t Jittered(int64_t ms);
+
+  const Settings& m_settings;
+  RandomSource& m_random;
+  MemberTable m_table;
+  FailureDetector m_detector;
+  Overlay m_overlay;
+  ControlTransport m_transport;
+  DeliveryAgent m_delivery;
+  Joiner m_joiner;
+
+  std::vector<std::string> m_successors;
+  std::vector<std::string> m_neighbours;
+  std::map<std::string, Peer, std::less<>> m_peers;
+  // Lifetimes (started_ms) of the nodes that connections were opened to.
+  std::map<std::string, uint64_t, std::less<>> m_connected_lifetimes;
+  // Connections to open, by the time when they are due; the flag asks for a new one.
+  struct DueConnection {
+    int64_t due_ms = 0;
+    bool replace = false;
+  };
+  std::map<std::string, DueConnection> m_due_connections;
+  // Last use in ms of connections opened on demand, and opening times of contacts.
+  std::map<std::string, int64_t, std::less<>> m_on_demand;
+  std::map<std::string, int64_t> m_contacts;
+  // Nodes from which changed records came; they need not get them back.
+  std::map<std::string, std::string> m_news_sources;
+
+  std::shared_ptr<const EndpointList> m_endpoints = std::make_shared<const EndpointList>();
+  uint64_t m_endpoints_clock = 0;  // Version clock at which m_endpoints was built.
+  uint64_t m_sequence = 0;         // Of heartbeats.
+  int64_t m_last_exchange_ms = 0;  // Of member digests.
+  int64_t m_next_probe_ms = 0;     // While in conflict.
+  bool m_is_leaving = false;
+  std::function<void()> m_left;
+  std::set<std::string, std::less<>> m_unacknowledged;  // Neighbours to hear of the leave.
+
+  Counter& m_invalid_records;
+  Counter& m_exchanges;
+  Counter& m_suspicions;
+  Counter& m_deaths;
+  Gauge& m_live_members;
+  Timer m_heartbeat_timer;
+  Timer m_tick_timer;
+  Timer m_news_timer;
+  Timer m_refresh_timer;
+  Timer m_open_timer;
+  Timer m_leave_timer;
+};
+
+}  // namespace guavatrail
--- a/src/member_table.cc
+++ b/src/member_table.cc
@@ -58,17 +58,17 @@
   return result;
 }
 
-bool SameNews(const pb::MemberRecord& a, const pb::MemberRecord& b) {
-  return a.incarnation() == b.incarnation() && a.state() == b.state() &&
-         a.draining() == b.draining();
-}
-
 }  // namespace
 
 bool IsLive(const pb::MemberRecord& record) {
   return record.state() == pb::MEMBER_ALIVE || record.state() == pb::MEMBER_SUSPECT;
 }
 
+bool IsSameNews(const pb::MemberRecord& a, const pb::MemberRecord& b) {
+  return a.incarnation() == b.incarnation() && a.state() == b.state() &&
+         a.draining() == b.draining();
+}
+
 bool IsValidRecord(const pb::MemberRecord& record) {
   bool names = IsName(record.name()) && IsName(record.service()) && IsName(record.region()) &&
                IsName(record.data_centre()) && IsIp(record.ip());
@@ -129,12 +129,12 @@
   }
   Entry& entry = found->second;
   pb::MemberRecord merged = Merged(entry.record, record);
-  if (SameNews(merged, entry.record)) {
+  if (IsSameNews(merged, entry.record)) {
     if (merged.config_version() == entry.record.config_version()) return MergeResult::kUnchanged;
     RaiseVersion(record.name(), merged.config_version());
     return MergeResult::kVersionOnly;
   }
-  bool takes_age = SameNews(merged, record);
+  bool takes_age = IsSameNews(merged, record);
   merged.set_gone_age_s(takes_age ? record.gone_age_s() : 0);
   Put(entry, merged, now_ms);
   m_changed.insert(record.name());
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -36,6 +36,8 @@
 
 // Alive or suspect.
 bool IsLive(const pb::MemberRecord& record);
+// Equal in everything that is news: incarnation, state and draining flag.
+bool IsSameNews(const pb::MemberRecord& a, const pb::MemberRecord& b);
 // Names, address, ports and numbers are within their limits.
 bool IsValidRecord(const pb::MemberRecord& record);
 
@@ -62,6 +64,8 @@
   void ForgetGone(int64_t now_ms);
   // Names of records that changed since the last call, for the flood of news.
   std::vector<std::string> TakeChanged();
+  // Makes the record part of the next TakeChanged(), to announce it again.
+  void MarkChanged(const std::string& name) { m_changed.insert(name); }
 
   // Queries.
   // This process's own record, also while another process holds the name.
