--- /dev/null
+++ b/test/scenarios/forwarder.py
@@ -0,0 +1,87 @@
+"""Forwards TCP connections between nodes and cuts or silences them on command.
+
+Started by the runner. The first line on stdin is JSON: {"nodes": {name: [real ip, advertised ip]},
+"ports": [...]}. Each later line is a command: `cut A B`, `silence A B` or `heal`. Each command is
+answered by one line. A connection's source is known by its address: a node binds its outgoing
+connections to its real IP. A cut holds back bytes from A to B until `heal`, as lost packets that TCP
+sends again later do. Silence drops all further bytes from A to B on the connections that are open
+at that moment, for good, while later connections work.
+"""
+import asyncio
+import json
+import sys
+
+
+class Forwarder:
+    def __init__(self, nodes):
+        self.names = {ips[0]: name for name, ips in nodes.items()}
+        self.cuts = set()
+        self.changed = asyncio.Condition()
+        self.open = []  # one mutable record for each direction of each connection
+
+    async def pump(self, reader, writer, direction):
+        try:
+            while data := await reader.read(65536):
+                await self.wait_until_whole(direction)
+                if direction["silent"]:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        await self.wait_until_whole(direction)
+        if not direction["silent"]:
+            writer.close()
+            self.open.remove(direction)
+
+    async def wait_until_whole(self, direction):
+        async with self.changed:
+            await self.changed.wait_for(lambda: direction["pair"] not in self.cuts)
+
+    async def accept(self, target, ip, port, reader, writer):
+        source = self.names.get(writer.get_extra_info("peername")[0], "outside")
+        there = {"pair": (source, target), "silent": False}
+        back = {"pair": (target, source), "silent": False}
+        # A handshake needs both directions.
+        await self.wait_until_whole(there)
+        await self.wait_until_whole(back)
+        try:
+            target_reader, target_writer = await asyncio.open_connection(ip, port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.open += [there, back]
+        await asyncio.gather(self.pump(reader, target_writer, there),
+                             self.pump(target_reader, writer, back))
+
+    async def command(self, words):
+        if words[0] == "cut":
+            self.cuts.add((words[1], words[2]))
+        elif words[0] == "silence":
+            for direction in self.open:
+                if direction["pair"] == (words[1], words[2]):
+                    direction["silent"] = True
+        elif words[0] == "heal":
+            self.cuts.clear()
+        async with self.changed:
+            self.changed.notify_all()
+
+
+async def main():
+    loop = asyncio.get_running_loop()
+    stdin = asyncio.StreamReader(limit=1 << 22)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(stdin), sys.stdin)
+    config = json.loads(await stdin.readline())
+    forwarder = Forwarder(config["nodes"])
+    for name, (ip, advertised) in config["nodes"].items():
+        for port in config["ports"]:
+            def accept(r, w, name=name, ip=ip, port=port):
+                return forwarder.accept(name, ip, port, r, w)
+            await asyncio.start_server(accept, advertised, port)
+    print("ready", flush=True)
+    while line := await stdin.readline():
+        await forwarder.command(line.decode().split())
+        print("done", flush=True)
+
+
+asyncio.run(main())
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -5,3 +5,5 @@
 tools/install-packages.sh
 tools/build.sh build
 ctest --test-dir build --output-on-failure -j 8
+python3 test/scenarios/selftest.py
+python3 test/scenarios/run.py --jobs 3
