--- a/test/scenarios/steps.py
+++ b/test/scenarios/steps.py
@@ -380,6 +380,9 @@
             for node in self.select(words[1:]):
                 stats = self.fleet.server_stats(node) or {}
                 self.compare(f"server of {node.name}", lambda n: stats.get(n, 0), conditions)
+        elif what == "platform":
+            stats = self.fleet.platform_stats() or {}
+            self.compare("platform", lambda n: stats.get(n, 0), conditions)
         elif what == "command":
             self.expect_command(words[1:], options)
         else:
