--- /dev/null
+++ b/src/config_store.cc
@@ -0,0 +1,236 @@
+#include "config_store.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace guavatrail {
+
+namespace {
+
+tl::unexpected<StoreError> Fail(StoreError::Code code, const std::string& message) {
+  return tl::make_unexpected(StoreError{code, message});
+}
+
+// Reads segments one after the other until the wanted entries are complete.
+struct EntriesRead : std::enable_shared_from_this<EntriesRead> {
+  PlatformClient& client;
+  ConfigHead head;
+  uint64_t next;
+  uint64_t last;
+  std::vector<LogEntry> entries;
+  StoreHandler<std::vector<LogEntry>> handler;
+
+  EntriesRead(PlatformClient& c, const ConfigHead& h, uint64_t first, uint64_t l,
+              StoreHandler<std::vector<LogEntry>> done)
+      : client(c), head(h), next(first), last(l), handler(std::move(done)) {}
+
+  void Step() {
+    if (next > last || next > head.segmented) {
+      std::vector<LogEntry> tail = TailEntries(head, next, last);
+      entries.insert(entries.end(), tail.begin(), tail.end());
+      handler(std::move(entries));
+      return;
+    }
+    std::string key = SegmentKey(SegmentStart(next));
+    client.Read(key, [self = shared_from_this(), key](auto object) { self->OnRead(key, object); });
+  }
+
+  void OnRead(const std::string& key, const tl::expected<PlatformObject, PlatformError>& object) {
+    if (!object) return handler(tl::make_unexpected(ToStoreError(object.error(), key)));
+    uint64_t first = SegmentStart(next);
+    auto segment = DecodeSegment(object->value, first);
+    if (!segment) {
+      return handler(Fail(StoreError::Code::kDamaged, key + ": " + segment.error().message));
+    }
+    for (LogEntry& entry : *segment) {
+      if (entry.version >= next && entry.version <= last) entries.push_back(std::move(entry));
+    }
+    next = first + kSegmentEntries;
+    Step();
+  }
+};
+
+// Reads the parts of a snapshot one after the other.
+struct SnapshotRead : std::enable_shared_from_this<SnapshotRead> {
+  PlatformClient& client;
+  SnapshotRef snapshot;
+  uint32_t part = 0;
+  std::string bytes;
+  StoreHandler<std::string> handler;
+
+  SnapshotRead(PlatformClient& c, SnapshotRef s, StoreHandler<std::string> done)
+      : client(c), snapshot(std::move(s)), handler(std::move(done)) {}
+
+  void Step() {
+    std::string key = SnapshotKey(snapshot, part);
+    if (part == snapshot.parts) {
+      if (DigestOf(bytes) != snapshot.digest) {
+        return handler(Fail(StoreError::Code::kDamaged, key + ": digest of the snapshot differs"));
+      }
+      return handler(std::move(bytes));
+    }
+    client.Read(key, [self = shared_from_this(), key](auto object) {
+      if (!object) return self->handler(tl::make_unexpected(ToStoreError(object.error(), key)));
+      self->bytes += object->value;
+      ++self->part;
+      self->Step();
+    });
+  }
+};
+
+// Reads the notes after a table and applies them.
+struct TableRead : std::enable_shared_from_this<TableRead> {
+  PlatformClient& client;
+  ConfigHead head;
+  std::shared_ptr<const ConfigTable> table;
+  std::vector<LogEntry> entries;
+  size_t next = 0;
+  StoreHandler<std::shared_ptr<const ConfigTable>> handler;
+
+  TableRead(PlatformClient& c, const ConfigHead& h, std::shared_ptr<const ConfigTable> base,
+            StoreHandler<std::shared_ptr<const ConfigTable>> done)
+      : client(c), head(h), table(std::move(base)), handler(std::move(done)) {}
+
+  void Start() {
+    if (table == nullptr || table->version() > head.version) {
+      table = std::make_shared<const ConfigTable>();
+    }
+    if (head.snapshot.version <= table->version()) return ReadNotes();
+    ReadSnapshot(client, head.snapshot, [self = shared_from_this()](auto bytes) {
+      if (!bytes) return self->handler(tl::make_unexpected(bytes.error()));
+      auto decoded = DecodeTable(*bytes);
+      if (!decoded) return self->handler(Fail(StoreError::Code::kDamaged, decoded.error().message));
+      self->table = std::make_shared<const ConfigTable>(std::move(*decoded));
+      self->ReadNotes();
+    });
+  }
+
+  void ReadNotes() {
+    ReadEntries(client, head, table->version() + 1, head.version,
+                [self = shared_from_this()](auto read) {
+                  if (!read) return self->handler(tl::make_unexpected(read.error()));
+                  self->entries = std::move(*read);
+                  self->Step();
+                });
+  }
+
+  void Step() {
+    if (next == entries.size()) return Finish();
+    ReadNoteBytes(client, entries[next], [self = shared_from_this()](auto bytes) {
+      if (!bytes) return self->handler(tl::make_unexpected(bytes.error()));
+      self->table = std::make_shared<const ConfigTable>(
+          std::move(ApplyEncodedNote(*self->table, *bytes).table));
+      ++self->next;
+      self->Step();
+    });
+  }
+
+  void Finish() {
+    // The notes decide; a differing digest shows a writer that applies them differently.
+    if (head.version > 0 && DigestOf(EncodeTable(*table)) != head.table_digest) {
+      LOG(WARNING) << "event=table_digest_differs version=" << head.version;
+    }
+    handler(table);
+  }
+};
+
+}  // namespace
+
+StoreError ToStoreError(const PlatformError& error, std::string_view key) {
+  StoreError::Code code = error.code == PlatformError::Code::kNotFound
+                              ? StoreError::Code::kMissing
+                              : StoreError::Code::kUnavailable;
+  return {code, std::string(key) + ": " + error.message};
+}
+
+tl::expected<HeadObject, StoreError> DecodeHeadObject(const PlatformObject& object) {
+  auto head = DecodeHead(object.value);
+  if (!head) {
+    return Fail(StoreError::Code::kDamaged, std::string(kHeadKey) + ": " + head.error().message);
+  }
+  return HeadObject{std::move(*head), object.version};
+}
+
+void ReadHead(PlatformClient& client, StoreHandler<HeadObject> handler) {
+  client.Read(kHeadKey, [handler = std::move(handler)](auto object) {
+    if (object) return handler(DecodeHeadObject(*object));
+    if (object.error().code == PlatformError::Code::kNotFound) return handler(HeadObject{});
+    handler(tl::make_unexpected(ToStoreError(object.error(), kHeadKey)));
+  });
+}
+
+void ReadEntries(PlatformClient& client, const ConfigHead& head, uint64_t first, uint64_t last,
+                 StoreHandler<std::vector<LogEntry>> handler) {
+  std::make_shared<EntriesRead>(client, head, std::max<uint64_t>(first, 1), last,
+                                std::move(handler))
+      ->Step();
+}
+
+void ReadNoteBytes(PlatformClient& client, const LogEntry& entry,
+                   StoreHandler<std::string> handler) {
+  std::string key = NoteKey(entry.note_id, entry.digest);
+  client.Read(key, [key, digest = entry.digest, handler = std::move(handler)](auto object) {
+    if (!object) return handler(tl::make_unexpected(ToStoreError(object.error(), key)));
+    if (DigestOf(object->value) != digest) {
+      return handler(Fail(StoreError::Code::kDamaged, key + ": digest of the note differs"));
+    }
+    handler(std::move(object->value));
+  });
+}
+
+void ReadSnapshot(PlatformClient& client, const SnapshotRef& snapshot,
+                  StoreHandler<std::string> handler) {
+  std::make_shared<SnapshotRead>(client, snapshot, std::move(handler))->Step();
+}
+
+void ReadTable(PlatformClient& client, const ConfigHead& head,
+               std::shared_ptr<const ConfigTable> base,
+               StoreHandler<std::shared_ptr<const ConfigTable>> handler) {
+  std::make_shared<TableRead>(client, head, std::move(base), std::move(handler))->Start();
+}
+
+void ReadHistory(PlatformClient& client, StoreHandler<std::vector<LogEntry>> handler) {
+  ReadHead(client, [&client, handler = std::move(handler)](auto object) {
+    if (!object) return handler(tl::make_unexpected(object.error()));
+    ReadEntries(client, object->head, 1, object->head.version, handler);
+  });
+}
+
+void ReadNoteAt(PlatformClient& client, uint64_t version, StoreHandler<StoredNote> handler) {
+  auto on_bytes = [handler](const LogEntry& entry,
+                            const tl::expected<std::string, StoreError>& bytes) {
+    if (!bytes) return handler(tl::make_unexpected(bytes.error()));
+    auto note = DecodeNote(*bytes);
+    if (!note) return handler(Fail(StoreError::Code::kDamaged, note.error().message));
+    handler(StoredNote{entry, std::move(*note)});
+  };
+  auto on_entries = [&client, handler, version, on_bytes](auto entries) {
+    if (!entries) return handler(tl::make_unexpected(entries.error()));
+    if (entries->empty()) {
+      return handler(
+          Fail(StoreError::Code::kMissing, "no note at version " + std::to_string(version)));
+    }
+    ReadNoteBytes(client, entries->front(),
+                  [on_bytes, entry = entries->front()](auto bytes) { on_bytes(entry, bytes); });
+  };
+  ReadHead(client, [&client, handler, version, on_entries](auto object) {
+    if (!object) return handler(tl::make_unexpected(object.error()));
+    if (version == 0 || version > object->head.version) {
+      return handler(Fail(StoreError::Code::kMissing,
+                          "no note at version " + std::to_string(version) + "; the head is at " +
+                              std::to_string(object->head.version)));
+    }
+    ReadEntries(client, object->head, version, version, on_entries);
+  });
+}
+
+void ReadCurrentTable(PlatformClient& client,
+                      StoreHandler<std::shared_ptr<const ConfigTable>> handler) {
+  ReadHead(client, [&client, handler = std::move(handler)](auto object) {
+    if (!object) return handler(tl::make_unexpected(object.error()));
+    ReadTable(client, object->head, nullptr, handler);
+  });
+}
+
+}  // namespace guavatrail
--- a/src/config_table.cc
+++ b/src/config_table.cc
@@ -8,8 +8,10 @@
 
 using Code = ConfigError::Code;
 
-tl::unexpected<ConfigError> Fail(Code code, const ResourceRef& ref, const std::string& message) {
-  return tl::make_unexpected(ConfigError{code, ref, ToString(ref) + ": " + message});
+tl::unexpected<ConfigError> Fail(Code code, const ResourceRef& ref, const std::string& message,
+                                 std::optional<ResourceRef> related = std::nullopt) {
+  return tl::make_unexpected(
+      ConfigError{code, ref, ToString(ref) + ": " + message, std::move(related)});
 }
 
 bool IsText(std::string_view text) { return text.size() <= kMaxTextLength; }
@@ -176,16 +178,19 @@
   for (const auto& [name, route] : m_routes) {
     ResourceRef ref{ResourceType::kRoute, name};
     if (FindService(route.service) == nullptr) {
-      return Fail(Code::kDanglingReference, ref, "service/" + route.service + " does not exist");
+      return Fail(Code::kDanglingReference, ref, "service/" + route.service + " does not exist",
+                  ResourceRef{ResourceType::kService, route.service});
     }
     if (FindWorkKind(route.work) == nullptr) {
-      return Fail(Code::kDanglingReference, ref, "work/" + route.work + " does not exist");
+      return Fail(Code::kDanglingReference, ref, "work/" + route.work + " does not exist",
+                  ResourceRef{ResourceType::kWorkKind, route.work});
     }
     auto [other, inserted] = prefixes.emplace(route.path_prefix, name);
     if (!inserted) {
       return Fail(Code::kDuplicate, ref,
                   "path_prefix " + route.path_prefix + " is already that of route/" +
-                      std::string(other->second));
+                      std::string(other->second),
+                  ResourceRef{ResourceType::kRoute, std::string(other->second)});
     }
   }
   return {};
--- a/src/config_table.h
+++ b/src/config_table.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -85,6 +86,8 @@
   Code code = Code::kInvalidValue;
   ResourceRef resource;
   std::string message;
+  // The other resource of a dangling reference or a duplicate path prefix.
+  std::optional<ResourceRef> related;
 };
 
 // "already_exists", "not_found", "dangling_reference", "duplicate" or "invalid_value".
--- /dev/null
+++ b/test/support/fake_platform.cc
@@ -0,0 +1,209 @@
+#include "fake_platform.h"
+
+#include <event2/buffer.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace guavatrail {
+
+namespace {
+
+constexpr std::string_view kObjects = "/v1/objects";
+
+std::string Header(evhttp_request* request, const char* name) {
+  const char* value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
+  return value == nullptr ? "" : value;
+}
+
+std::string Body(evhttp_request* request) {
+  evbuffer* buffer = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(buffer), '\0');
+  evbuffer_remove(buffer, body.data(), body.size());
+  return body;
+}
+
+std::string Query(evhttp_request* request, const char* name) {
+  const char* text = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+  if (text == nullptr) return "";
+  evkeyvalq query{};
+  evhttp_parse_query_str(text, &query);
+  const char* value = evhttp_find_header(&query, name);
+  std::string result = value == nullptr ? "" : value;
+  evhttp_clear_headers(&query);
+  return result;
+}
+
+std::string Decode(const std::string& text) {
+  std::unique_ptr<char, decltype(&free)> decoded(evhttp_uridecode(text.c_str(), 0, nullptr), &free);
+  return decoded.get();
+}
+
+}  // namespace
+
+FakePlatform::FakePlatform(EventLoop& loop) : m_loop(loop), m_http(evhttp_new(loop.base())) {
+  evhttp_set_gencb(m_http, &FakePlatform::OnRequest, this);
+  evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(m_http, "127.0.0.1", 0);
+  CHECK(socket != nullptr) << "no port on loopback";
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr*>(&address), &length);
+  m_port = ntohs(address.sin_port);
+}
+
+FakePlatform::~FakePlatform() {
+  m_timers.clear();
+  m_waiters.clear();
+  evhttp_free(m_http);
+}
+
+std::optional<std::string> FakePlatform::Value(const std::string& key) const {
+  auto it = m_objects.find(key);
+  if (it == m_objects.end()) return std::nullopt;
+  return it->second.back();
+}
+
+uint64_t FakePlatform::Version(const std::string& key) const {
+  auto it = m_objects.find(key);
+  return it == m_objects.end() ? 0 : it->second.size();
+}
+
+void FakePlatform::Put(const std::string& key, const std::string& value) {
+  m_objects[key].push_back(value);
+  AnswerWaiters(key);
+}
+
+uint64_t FakePlatform::Requests(const std::string& key) const {
+  auto it = m_requests_by_key.find(key);
+  return it == m_requests_by_key.end() ? 0 : it->second;
+}
+
+void FakePlatform::OnRequest(evhttp_request* request, void* self) {
+  static_cast<FakePlatform*>(self)->Handle(request);
+}
+
+void FakePlatform::Handle(evhttp_request* request) {
+  ++m_requests;
+  std::string path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+  bool is_read = evhttp_request_get_command(request) == EVHTTP_REQ_GET;
+  if (path == kObjects) return HandleList(request, Query(request, "prefix"));
+  std::string key = Decode(path.substr(kObjects.size() + 1));
+  ++m_requests_by_key[key];
+  Fault fault = m_rule ? m_rule(is_read ? "GET" : "PUT", key) : Fault::kNone;
+  if (fault == Fault::kUnavailable) return Answer(request, 503, "", 0);
+  if (fault == Fault::kLostBeforeEffect) return Drop(request);
+  if (is_read) return HandleRead(request, key, fault);
+  HandleWrite(request, key, fault);
+}
+
+void FakePlatform::HandleRead(evhttp_request* request, const std::string& key, Fault fault) {
+  if (fault == Fault::kLostAfterEffect || fault == Fault::kDelayedEffect) return Drop(request);
+  uint64_t version = Version(key);
+  std::string after = Query(request, "after");
+  if (!after.empty() && fault != Fault::kStale && version <= std::stoull(after)) {
+    return Watch(request, key, std::stoull(after), std::stoll(Query(request, "wait_ms")));
+  }
+  if (fault == Fault::kStale && version > 0) --version;
+  if (version == 0) return Answer(request, 404, "", 0);
+  Answer(request, 200, m_objects[key][version - 1], version);
+}
+
+void FakePlatform::Watch(evhttp_request* request, const std::string& key, uint64_t after,
+                         int64_t wait_ms) {
+  auto waiter = std::make_unique<Waiter>();
+  waiter->request = request;
+  waiter->key = key;
+  waiter->after = after;
+  waiter->expiry = std::make_unique<Timer>(m_loop, [this, request] {
+    Forget(request);
+    Answer(request, 304, "", 0);
+  });
+  waiter->expiry->Start(std::chrono::milliseconds(wait_ms));
+  // A client that goes away frees the request.
+  evhttp_connection_set_closecb(
+      evhttp_request_get_connection(request),
+      [](evhttp_connection* connection, void* self) {
+        auto& waiters = static_cast<FakePlatform*>(self)->m_waiters;
+        std::erase_if(waiters, [&](const auto& w) {
+          return evhttp_request_get_connection(w->request) == connection;
+        });
+      },
+      this);
+  m_waiters.push_back(std::move(waiter));
+}
+
+void FakePlatform::Forget(evhttp_request* request) {
+  std::erase_if(m_waiters, [&](const auto& w) { return w->request == request; });
+}
+
+void FakePlatform::AnswerWaiters(const std::string& key) {
+  std::vector<evhttp_request*> ready;
+  for (const auto& waiter : m_waiters) {
+    if (waiter->key == key && Version(key) > waiter->after) ready.push_back(waiter->request);
+  }
+  for (evhttp_request* request : ready) {
+    Forget(request);
+    Answer(request, 200, m_objects[key].back(), Version(key));
+  }
+}
+
+void FakePlatform::HandleWrite(evhttp_request* request, const std::string& key, Fault fault) {
+  std::string value = Body(request);
+  std::string if_match = Header(request, "If-Match");
+  std::string if_none_match = Header(request, "If-None-Match");
+  if (fault == Fault::kDelayedEffect) {
+    After(effect_delay, [=, this] { Write(key, value, if_match, if_none_match); });
+    return Drop(request);
+  }
+  int status = Write(key, value, if_match, if_none_match);
+  if (fault == Fault::kLostAfterEffect) return Drop(request);
+  Answer(request, status, "", Version(key));
+}
+
+int FakePlatform::Write(const std::string& key, const std::string& value,
+                        const std::string& if_match, const std::string& if_none_match) {
+  constexpr size_t kValueLimit = 1'000'000;
+  if (value.size() > kValueLimit) return 413;
+  uint64_t version = Version(key);
+  if (if_none_match == "*") {
+    if (version > 0) return 412;
+    Put(key, value);
+    return 201;
+  }
+  if (version == 0 || if_match != "\"" + std::to_string(version) + "\"") return 412;
+  Put(key, value);
+  return 200;
+}
+
+void FakePlatform::HandleList(evhttp_request* request, const std::string& prefix) {
+  std::string body;
+  for (const auto& [key, versions] : m_objects) {
+    if (key.starts_with(prefix)) body += key + "\n";
+  }
+  Answer(request, 200, body, 0);
+}
+
+void FakePlatform::Answer(evhttp_request* request, int status, const std::string& body,
+                          uint64_t version) {
+  if (version > 0) {
+    std::string tag = "\"" + std::to_string(version) + "\"";
+    evhttp_add_header(evhttp_request_get_output_headers(request), "ETag", tag.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+  evhttp_send_reply(request, status, nullptr, nullptr);
+}
+
+void FakePlatform::Drop(evhttp_request* request) {
+  // Freeing the connection inside the callback of its request is not allowed.
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  After(std::chrono::microseconds(0), [connection] { evhttp_connection_free(connection); });
+}
+
+void FakePlatform::After(std::chrono::microseconds delay, std::function<void()> action) {
+  m_timers.push_back(std::make_unique<Timer>(m_loop, std::move(action)));
+  m_timers.back()->Start(delay);
+}
+
+}  // namespace guavatrail
