Test the call policies one behaviour at a time and mend what the tests showed

Faults found: two choices could draw the same server twice; a server whose report had expired counted as idle; a slowdown of the whole service put the first servers it reached aside; at the target size, probes made up most of the calls of a server that was put aside.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -10,6 +10,9 @@
 // Below 20 ms callers would return within the same burst; beyond 30 s the prediction says nothing.
 constexpr int64_t kMinRetryAfterMs = 20;
 constexpr int64_t kMaxRetryAfterMs = 30'000;
+// Service times vary around the typical one. With exponential service times at 1.5 times the
+// capacity a margin of 1 lets 4.4% of long requests end late, 1.5 lets 2.2%.
+constexpr double kServiceMargin = 1.5;
 
 AdmissionDecision Decide(AdmissionDecision::Action action) { return {.action = action}; }
 
@@ -90,8 +93,8 @@
 }
 
 AdmissionLoad SlotAdmission::load() const {
-  int64_t service_us = m_short_estimate.typical_us();
-  if (service_us == 0) service_us = m_long_estimate.typical_us();
+  int64_t service_us = m_short_estimate.settled_us();
+  if (service_us == 0) service_us = m_long_estimate.settled_us();
   return {static_cast<int>(m_running.size()), static_cast<int>(m_queue.size()), service_us};
 }
 
@@ -133,7 +136,8 @@
 
 bool SlotAdmission::WouldMissDeadline(const AdmissionRequest& request, int64_t wait_us,
                                       int64_t now_us) const {
-  return now_us + wait_us + EstimateOf(request.is_short).typical_us() > request.deadline_us;
+  auto service_us = static_cast<double>(EstimateOf(request.is_short).typical_us());
+  return now_us + wait_us + static_cast<int64_t>(kServiceMargin * service_us) > request.deadline_us;
 }
 
 SlotAdmission::Remaining SlotAdmission::RemainingOfRunning(int64_t now_us) const {
@@ -220,7 +224,7 @@
 
 AdmissionLoad UnlimitedAdmission::load() const {
   return {static_cast<int>(m_running.size()), static_cast<int>(m_queue.size()),
-          m_estimate.typical_us()};
+          m_estimate.settled_us()};
 }
 
 AdmissionChanges UnlimitedAdmission::StartQueued() {
--- a/src/admission.h
+++ b/src/admission.h
@@ -49,7 +49,8 @@
 struct AdmissionLoad {
   int in_service = 0;
   int queued = 0;
-  // Typical service time of short work, of long work while no short work was seen; 0 if unknown.
+  // Typical service time in microseconds of short work, or of long work if too little short work
+  // was measured; 0 if too little of both was measured.
   int64_t service_us = 0;
 };
 
--- a/src/outlier_detector.cc
+++ b/src/outlier_detector.cc
@@ -10,12 +10,14 @@
 
 // The median of fewer answers would let one straggler decide.
 constexpr size_t kMinSamples = 4;
+// A slowdown of the whole service reaches one server first. The others are therefore judged by
+// their newest answers as well, which show a slowdown sooner than a full window.
+constexpr size_t kNewest = 3;
 // Older answers say nothing about a slowdown that starts and ends within seconds.
 constexpr int64_t kSampleLifeUs = 2'000'000;
 constexpr int64_t kReportLifeUs = 5'000'000;
-// A report is already a mean over many requests, so two in a row are enough; the ratio is higher
-// than for answers because reports mix kinds of work.
-constexpr int kSlowReports = 2;
+// A report is already a mean over the requests of all entry nodes, so one is enough. The ratio is
+// higher than for answers because reports mix kinds of work.
 constexpr double kSlowReportRatio = 4.0;
 // After a return the node's report still shows the slow time until it has measured new requests.
 constexpr int64_t kReportPauseUs = 3'000'000;
@@ -70,22 +72,22 @@
   return log_ratio;
 }
 
-double OutlierDetector::MedianOf(const Server& server, int64_t now_us) const {
+double OutlierDetector::MedianOf(const Server& server, size_t count, int64_t now_us) const {
   std::vector<double> recent;
-  recent.reserve(kWindow);
-  for (size_t i = 0; i < std::min(server.sample_count, kWindow); ++i) {
-    if (now_us - server.samples[i].time_us <= kSampleLifeUs) {
-      recent.push_back(server.samples[i].log_ratio);
-    }
+  recent.reserve(count);
+  for (size_t i = 1; i <= std::min(server.sample_count, count); ++i) {
+    const Sample& sample = server.samples[(server.sample_count - i) % kWindow];
+    if (now_us - sample.time_us <= kSampleLifeUs) recent.push_back(sample.log_ratio);
   }
-  return recent.size() < kMinSamples ? 0 : LowerMedian(recent);
+  return recent.size() < std::min(count, kMinSamples) ? 0 : LowerMedian(recent);
 }
 
-double OutlierDetector::MedianOfOthers(const Server& server, int64_t now_us) const {
+double OutlierDetector::MedianOfOthers(const Server* server, int64_t now_us) const {
   std::vector<double> others;
   others.reserve(m_servers.size());
   for (const auto& [name, other] : m_servers) {
-    if (&other != &server && !other.aside) others.push_back(MedianOf(other, now_us));
+    if (&other == server || other.aside) continue;
+    others.push_back(std::max(MedianOf(other, kWindow, now_us), MedianOf(other, kNewest, now_us)));
   }
   return others.empty() ? 0 : LowerMedian(others);
 }
@@ -102,16 +104,14 @@
 
 bool OutlierDetector::MayPutAside() const { return (m_aside_count + 1) * 2 <= m_servers.size(); }
 
-bool OutlierDetector::IsSlow(Server& server, int64_t reported_us, int64_t now_us) const {
-  double median = MedianOf(server, now_us);
+bool OutlierDetector::IsSlow(const Server& server, int64_t reported_us, int64_t now_us) const {
+  double median = MedianOf(server, kWindow, now_us);
   double limit = std::log(m_options.slow_ratio);
-  if (median > limit && median - MedianOfOthers(server, now_us) > limit) return true;
+  if (median > limit && median - MedianOfOthers(&server, now_us) > limit) return true;
   if (reported_us == 0 || now_us < server.ignore_reports_until_us) return false;
   int64_t others_us = ReportedByOthers(server, now_us);
-  bool is_slow_report = others_us > 0 && static_cast<double>(reported_us) >
-                                             kSlowReportRatio * static_cast<double>(others_us);
-  server.slow_reports = is_slow_report ? server.slow_reports + 1 : 0;
-  return server.slow_reports >= kSlowReports;
+  return others_us > 0 &&
+         static_cast<double>(reported_us) > kSlowReportRatio * static_cast<double>(others_us);
 }
 
 void OutlierDetector::Sampled(Server& server, double log_ratio, int64_t reported_us,
@@ -126,31 +126,52 @@
     server.reported_us = reported_us;
     server.reported_at_us = now_us;
   }
-  if (!IsSlow(server, reported_us, now_us) || !MayPutAside()) return;
-  server = Server{};
+  if (IsSlow(server, reported_us, now_us) && MayPutAside()) {
+    server = Server{};
+    ++m_aside_count;
+    PutAside(server, m_options.first_aside_us, now_us);
+  } else if (m_aside_count > 0) {
+    ReturnAllIfAllAreSlow(now_us);
+  }
+}
+
+void OutlierDetector::PutAside(Server& server, int64_t length_us, int64_t now_us) {
   server.aside = true;
-  server.aside_length_us = m_options.first_aside_us;
-  server.aside_until_us = now_us + server.aside_length_us;
-  ++m_aside_count;
+  server.aside_length_us = length_us;
+  server.aside_since_us = now_us;
+  server.aside_until_us = now_us + length_us;
+  server.probe_at_answer = m_answers + m_options.answers_before_probe;
+  server.good_probes = 0;
+}
+
+void OutlierDetector::Return(Server& server, int64_t now_us) {
+  server = Server{};
+  server.ignore_reports_until_us = now_us + kReportPauseUs;
+  --m_aside_count;
+}
+
+// When the servers in use have become as slow, the reason is not a neighbour of the servers aside,
+// and fewer servers make it worse.
+void OutlierDetector::ReturnAllIfAllAreSlow(int64_t now_us) {
+  if (MedianOfOthers(nullptr, now_us) <= std::log(m_options.slow_ratio)) return;
+  for (auto& [name, server] : m_servers) {
+    if (server.aside) Return(server, now_us);
+  }
 }
 
 void OutlierDetector::ProbeEnded(Server& server, double log_ratio, int64_t now_us) {
   server.probe_sent_us = -1;
-  if (log_ratio - MedianOfOthers(server, now_us) > std::log(m_options.return_ratio)) {
-    server.good_probes = 0;
-    server.aside_length_us = std::min(2 * server.aside_length_us, m_options.max_aside_us);
-    server.aside_until_us = now_us + server.aside_length_us;
+  if (log_ratio - MedianOfOthers(&server, now_us) > std::log(m_options.return_ratio)) {
+    PutAside(server, std::min(2 * server.aside_length_us, m_options.max_aside_us), now_us);
     return;
   }
-  if (++server.good_probes < m_options.probes_to_return) return;
-  server = Server{};
-  server.ignore_reports_until_us = now_us + kReportPauseUs;
-  --m_aside_count;
+  if (++server.good_probes >= m_options.probes_to_return) Return(server, now_us);
 }
 
 void OutlierDetector::Answered(const ServerAnswer& answer, int64_t now_us) {
   auto server = m_servers.find(answer.node);
   if (server == m_servers.end()) return;
+  ++m_answers;
   Sampled(server->second, LogRatioOf(answer), answer.reported_service_us, now_us);
 }
 
@@ -170,7 +191,9 @@
   const Server& server = found->second;
   bool is_probing = server.probe_sent_us >= 0 && now_us - server.probe_sent_us < kProbeTimeoutUs;
   if (now_us < server.aside_until_us || is_probing) return ServerStanding::kAside;
-  return ServerStanding::kProbe;
+  bool is_probe_due = m_answers >= server.probe_at_answer ||
+                      now_us - server.aside_since_us >= m_options.quiet_probe_us;
+  return is_probe_due ? ServerStanding::kProbe : ServerStanding::kAside;
 }
 
 void SetServers(OutlierPolicy& policy, std::span<const std::string_view> nodes) {
--- a/src/outlier_detector.h
+++ b/src/outlier_detector.h
@@ -40,6 +40,11 @@
     int probes_to_return = 3;
     int64_t first_aside_us = 1'000'000;  // Doubled after every bad probe.
     int64_t max_aside_us = 8'000'000;
+    // Answers of the other servers before a probe. At a low rate of calls this keeps probes from
+    // being a large part of what the server would get anyway.
+    uint64_t answers_before_probe = 100;
+    // With fewer answers a probe is sent after this time all the same.
+    int64_t quiet_probe_us = 30'000'000;
   };
 
   OutlierDetector() : OutlierDetector(Options{}) {}
@@ -63,10 +68,11 @@
     size_t sample_count = 0;  // Total; the newest is at (sample_count - 1) % kWindow.
     int64_t reported_us = 0;
     int64_t reported_at_us = 0;
-    int slow_reports = 0;
     int64_t ignore_reports_until_us = 0;
     bool aside = false;
     int64_t aside_until_us = 0;
+    int64_t aside_since_us = 0;  // The last decision to put or leave it aside.
+    uint64_t probe_at_answer = 0;
     int64_t aside_length_us = 0;
     int64_t probe_sent_us = -1;  // -1: no probe on its way.
     int good_probes = 0;
@@ -79,17 +85,23 @@
   using Servers = std::map<std::string, Server, std::less<>>;
 
   double LogRatioOf(const ServerAnswer& answer);
-  double MedianOf(const Server& server, int64_t now_us) const;
-  double MedianOfOthers(const Server& server, int64_t now_us) const;
+  // Of the newest `count` answers.
+  double MedianOf(const Server& server, size_t count, int64_t now_us) const;
+  // Over the servers in use except `server`, which may be null.
+  double MedianOfOthers(const Server* server, int64_t now_us) const;
   int64_t ReportedByOthers(const Server& server, int64_t now_us) const;
-  bool IsSlow(Server& server, int64_t reported_us, int64_t now_us) const;
+  bool IsSlow(const Server& server, int64_t reported_us, int64_t now_us) const;
   void Sampled(Server& server, double log_ratio, int64_t reported_us, int64_t now_us);
+  void PutAside(Server& server, int64_t length_us, int64_t now_us);
+  void Return(Server& server, int64_t now_us);
+  void ReturnAllIfAllAreSlow(int64_t now_us);
   void ProbeEnded(Server& server, double log_ratio, int64_t now_us);
   bool MayPutAside() const;
 
   Options m_options;
   Servers m_servers;
   size_t m_aside_count = 0;
+  uint64_t m_answers = 0;
   std::map<std::string, Usual, std::less<>> m_usual;
 };
 
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -13,6 +13,9 @@
 constexpr double kReportHalfLifeUs = 500'000;
 // Assumed service time while no server has reported one.
 constexpr double kDefaultServiceUs = 5'000;
+// Nearly equal servers share the calls at random; otherwise the one that is a little faster would
+// get all calls of an idle service.
+constexpr double kClearlyLess = 0.9;
 // Share of its draws that a server takes just after it appeared.
 constexpr double kSlowStartShare = 0.1;
 // Draws for one choice before a slowly starting server is taken all the same.
@@ -31,15 +34,41 @@
   return std::max<double>(candidate.own_in_flight, reported + own_since);
 }
 
-double NeutralServiceUs(std::span<const PlacementCandidate> candidates) {
-  double sum = 0;
-  int known = 0;
+// What a server without a recent report is taken for.
+struct Neutral {
+  double requests_per_slot = 0;
+  double service_us = kDefaultServiceUs;
+};
+
+Neutral NeutralOf(std::span<const PlacementCandidate> candidates) {
+  double requests = 0;
+  double slots = 0;
+  double service_us = 0;
+  double service_weight = 0;
   for (const PlacementCandidate& candidate : candidates) {
-    if (candidate.load_age_us < 0 || candidate.load.service_us <= 0) continue;
-    sum += static_cast<double>(candidate.load.service_us);
-    ++known;
+    double weight = WeightOf(candidate);
+    requests += weight * (candidate.load.in_service + candidate.load.queued);
+    slots += weight * std::max(1, candidate.slots);
+    if (candidate.load.service_us <= 0) continue;
+    service_us += weight * static_cast<double>(candidate.load.service_us);
+    service_weight += weight;
   }
-  return known == 0 ? kDefaultServiceUs : sum / known;
+  Neutral neutral;
+  if (slots > 0) neutral.requests_per_slot = requests / slots;
+  if (service_weight > 0) neutral.service_us = service_us / service_weight;
+  return neutral;
+}
+
+// Expected time on the server: the turns until a slot is free for one more request, and its own.
+double ScoreOf(const PlacementCandidate& candidate, const Neutral& neutral) {
+  double weight = WeightOf(candidate);
+  double service_us = neutral.service_us;
+  if (candidate.load.service_us > 0) {
+    service_us += weight * (static_cast<double>(candidate.load.service_us) - service_us);
+  }
+  int slots = std::max(1, candidate.slots);
+  double requests = RequestsAt(candidate) + (1 - weight) * neutral.requests_per_slot * slots;
+  return (requests + 1) / slots * service_us;
 }
 
 std::optional<int64_t> TakeNumber(std::string_view& text, std::string_view name) {
@@ -88,15 +117,8 @@
   if (pressure <= m_options.spill_stop) m_spilling = false;
 }
 
-double TwoChoices::ScoreOf(const PlacementCandidate& candidate, double neutral_us) const {
-  double service_us = neutral_us;
-  if (candidate.load.service_us > 0) {
-    service_us +=
-        WeightOf(candidate) * (static_cast<double>(candidate.load.service_us) - neutral_us);
-  }
-  double turns = (RequestsAt(candidate) + 1) / std::max(1, candidate.slots);
-  double remote_us = IsLocal(candidate) ? 0 : static_cast<double>(m_options.remote_cost_us);
-  return turns * service_us + remote_us;
+double TwoChoices::CostOf(const PlacementCandidate& candidate) const {
+  return IsLocal(candidate) ? 0 : static_cast<double>(m_options.remote_cost_us);
 }
 
 std::vector<size_t> TwoChoices::PoolOf(std::span<const PlacementCandidate> candidates) const {
@@ -114,18 +136,16 @@
 }
 
 size_t TwoChoices::Draw(std::span<const PlacementCandidate> candidates,
-                        std::span<const size_t> pool, std::optional<size_t> other,
-                        RandomSource& random) const {
-  size_t drawn = 0;
+                        std::span<const size_t> pool, RandomSource& random) const {
+  size_t position = 0;
   for (int i = 0; i < kMaxDraws; ++i) {
-    drawn = pool[random.Below(pool.size())];
-    if (drawn == other) continue;
-    double ramp = static_cast<double>(candidates[drawn].known_for_us) /
+    position = random.Below(pool.size());
+    double ramp = static_cast<double>(candidates[pool[position]].known_for_us) /
                   static_cast<double>(m_options.slow_start_us);
     double share = kSlowStartShare + (1 - kSlowStartShare) * ramp;
     if (share >= 1 || random.Unit() < share) break;
   }
-  return drawn;
+  return position;
 }
 
 std::optional<size_t> TwoChoices::Choose(std::span<const PlacementCandidate> candidates,
@@ -134,12 +154,14 @@
   UpdateSpill(candidates);
   std::vector<size_t> pool = PoolOf(candidates);
   if (pool.size() == 1) return pool.front();
-  size_t first = Draw(candidates, pool, std::nullopt, random);
-  size_t second = Draw(candidates, pool, first, random);
-  double neutral_us = NeutralServiceUs(candidates);
-  bool second_is_better =
-      ScoreOf(candidates[second], neutral_us) < ScoreOf(candidates[first], neutral_us);
-  return second_is_better ? second : first;
+  size_t position = Draw(candidates, pool, random);
+  size_t first = pool[position];
+  pool.erase(pool.begin() + static_cast<std::ptrdiff_t>(position));
+  size_t second = pool[Draw(candidates, pool, random)];
+  Neutral neutral = NeutralOf(candidates);
+  double first_us = ScoreOf(candidates[first], neutral) + CostOf(candidates[first]);
+  double second_us = ScoreOf(candidates[second], neutral) + CostOf(candidates[second]);
+  return second_us < kClearlyLess * first_us ? second : first;
 }
 
 std::optional<size_t> RoundRobin::Choose(std::span<const PlacementCandidate> candidates,
--- a/src/placement.h
+++ b/src/placement.h
@@ -69,9 +69,11 @@
 
  private:
   std::vector<size_t> PoolOf(std::span<const PlacementCandidate> candidates) const;
+  // A position in `pool`.
   size_t Draw(std::span<const PlacementCandidate> candidates, std::span<const size_t> pool,
-              std::optional<size_t> other, RandomSource& random) const;
-  double ScoreOf(const PlacementCandidate& candidate, double neutral_us) const;
+              RandomSource& random) const;
+  // Added latency of the candidate's data centre in microseconds.
+  double CostOf(const PlacementCandidate& candidate) const;
   void UpdateSpill(std::span<const PlacementCandidate> candidates);
   bool IsLocal(const PlacementCandidate& candidate) const;
 
--- a/src/service_time.h
+++ b/src/service_time.h
@@ -22,6 +22,10 @@
   // 0 before the first sample.
   int64_t typical_us() const { return static_cast<int64_t>(m_estimate_us); }
 
+  // The same, but 0 until so many samples were added that their spread hardly matters; for
+  // comparison with other servers.
+  int64_t settled_us() const { return m_samples < kSettled ? 0 : typical_us(); }
+
   // Whether a request that has run for `elapsed_us` is a straggler whose end cannot be predicted.
   bool IsStraggler(int64_t elapsed_us) const {
     return m_samples > 0 && static_cast<double>(elapsed_us) > kClip * m_estimate_us;
@@ -30,6 +34,7 @@
  private:
   static constexpr double kClip = 4.0;
   static constexpr int kWindow = 16;
+  static constexpr int kSettled = 8;
 
   double m_estimate_us = 0;
   int m_samples = 0;
--- /dev/null
+++ b/test/correctness/outlier_detector_puts_aside_with_care_test.cc
@@ -0,0 +1,186 @@
+// Guards against outlier detection that empties a service, reacts to stragglers or to a slowdown of
+// all servers, or never lets a server return.
+#include <gtest/gtest.h>
+
+#include "outlier_detector.h"
+
+namespace guavatrail {
+namespace {
+
+constexpr int64_t kMs = 1000;
+constexpr int64_t kSecond = 1'000'000;
+
+class OutlierDetectorPutsAsideWithCare : public testing::Test {
+ protected:
+  void SetUpServers(std::vector<std::string_view> nodes) {
+    m_nodes = std::move(nodes);
+    SetServers(m_policy, m_nodes);
+  }
+  // `rounds` answers of every server in use, 20 ms apart; `slow` names the servers that take 10
+  // times as long.
+  void Answer(int rounds, std::string_view slow) {
+    for (int i = 0; i < rounds; ++i) {
+      m_now_us += 20 * kMs;
+      for (std::string_view node : m_nodes) {
+        if (Standing(node) != ServerStanding::kInUse) continue;
+        bool is_slow = slow.find(node) != std::string_view::npos;
+        Answered(m_policy, {node, "lookup", is_slow ? 50 * kMs : 5 * kMs, 0}, m_now_us);
+      }
+    }
+  }
+  ServerStanding Standing(std::string_view node) const {
+    return StandingOf(m_policy, node, m_now_us);
+  }
+  size_t AsideCount() const { return std::get<OutlierDetector>(m_policy).aside_count(); }
+
+  OutlierPolicy m_policy;
+  std::vector<std::string_view> m_nodes;
+  int64_t m_now_us = 0;
+};
+
+TEST_F(OutlierDetectorPutsAsideWithCare, ASlowServerWithinASecond) {
+  SetUpServers({"a", "b", "c"});
+  Answer(50, "");
+  EXPECT_EQ(AsideCount(), 0U);
+  int64_t slow_since_us = m_now_us;
+  while (Standing("b") == ServerStanding::kInUse && m_now_us < slow_since_us + kSecond) {
+    Answer(1, "b");
+  }
+  EXPECT_EQ(Standing("b"), ServerStanding::kAside);
+  EXPECT_LE(m_now_us - slow_since_us, 200 * kMs);
+  EXPECT_EQ(AsideCount(), 1U);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, AServerThatFails) {
+  SetUpServers({"a", "b", "c"});
+  Answer(50, "");
+  for (int i = 0; i < 4; ++i) Failed(m_policy, "c", m_now_us);
+  EXPECT_EQ(Standing("c"), ServerStanding::kAside);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, AServerWhoseNodeReportsSlowWork) {
+  SetUpServers({"a", "b", "c"});
+  // One answer of each server says little, but the reports cover all entry nodes.
+  Answered(m_policy, {"a", "lookup", 5 * kMs, 5 * kMs}, m_now_us);
+  Answered(m_policy, {"b", "lookup", 5 * kMs, 6 * kMs}, m_now_us);
+  EXPECT_EQ(AsideCount(), 0U);
+  Answered(m_policy, {"c", "lookup", 5 * kMs, 50 * kMs}, m_now_us);
+  EXPECT_EQ(Standing("c"), ServerStanding::kAside);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, NeverMoreThanHalf) {
+  for (size_t failing = 3; failing <= 5; ++failing) {
+    m_policy = OutlierDetector();
+    SetUpServers({"a", "b", "c", "d", "e"});
+    Answer(50, "");
+    for (int i = 0; i < 100; ++i) {
+      m_now_us += 20 * kMs;
+      for (size_t n = 0; n < failing; ++n) Failed(m_policy, m_nodes[n], m_now_us);
+      EXPECT_LE(AsideCount(), 2U);
+    }
+  }
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, AndKeepsTheShareWhenServersLeave) {
+  SetUpServers({"a", "b", "c", "d", "e"});
+  Answer(50, "");
+  Answer(50, "abc");
+  EXPECT_EQ(AsideCount(), 2U);
+  std::vector<std::string_view> fewer = {"a", "b"};
+  SetServers(m_policy, fewer);
+  EXPECT_EQ(AsideCount(), 1U);
+  std::vector<std::string_view> one = {"a"};
+  SetServers(m_policy, one);
+  EXPECT_EQ(AsideCount(), 0U);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, NeverTheOnlyServer) {
+  SetUpServers({"a"});
+  for (int i = 0; i < 20; ++i) Failed(m_policy, "a", m_now_us);
+  EXPECT_EQ(Standing("a"), ServerStanding::kInUse);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, NotForAStraggler) {
+  SetUpServers({"a", "b", "c"});
+  for (int i = 0; i < 50; ++i) {
+    Answer(9, "");
+    Answered(m_policy, {"a", "lookup", kSecond, 0}, m_now_us);
+  }
+  EXPECT_EQ(AsideCount(), 0U);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, NotWhenAllServersAreSlow) {
+  SetUpServers({"a", "b", "c", "d"});
+  Answer(50, "");
+  Answer(200, "abcd");
+  EXPECT_EQ(AsideCount(), 0U);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, NotForLongWhenTheOthersBecomeSlowToo) {
+  SetUpServers({"a", "b", "c", "d"});
+  Answer(50, "");
+  Answer(20, "a");
+  ASSERT_EQ(Standing("a"), ServerStanding::kAside);
+  Answer(10, "abcd");
+  EXPECT_EQ(AsideCount(), 0U);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, AndNotForKindsOfWorkThatTakeLonger) {
+  SetUpServers({"a", "b"});
+  for (int i = 0; i < 100; ++i) {
+    m_now_us += 20 * kMs;
+    Answered(m_policy, {"a", "lookup", 5 * kMs, 0}, m_now_us);
+    Answered(m_policy, {"b", "download", 500 * kMs, 0}, m_now_us);
+  }
+  EXPECT_EQ(AsideCount(), 0U);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, AndLetsItReturnAfterGoodProbes) {
+  SetUpServers({"a", "b", "c"});
+  Answer(50, "");
+  Answer(20, "b");
+  ASSERT_EQ(Standing("b"), ServerStanding::kAside);
+  // A late answer to a call sent before is no probe.
+  Answered(m_policy, {"b", "lookup", 50 * kMs, 0}, m_now_us);
+  Answer(50, "");
+  ASSERT_EQ(Standing("b"), ServerStanding::kProbe);
+  ProbeSent(m_policy, "b", m_now_us);
+  EXPECT_EQ(Standing("b"), ServerStanding::kAside);
+  Answered(m_policy, {"b", "lookup", 50 * kMs, 0}, m_now_us);
+  Answer(60, "");
+  EXPECT_EQ(Standing("b"), ServerStanding::kAside) << "a bad probe doubles the time";
+  Answer(60, "");
+  for (int i = 0; i < 3; ++i) {
+    ASSERT_EQ(Standing("b"), ServerStanding::kProbe);
+    ProbeSent(m_policy, "b", m_now_us);
+    Answered(m_policy, {"b", "lookup", 5 * kMs, 0}, m_now_us);
+  }
+  EXPECT_EQ(Standing("b"), ServerStanding::kInUse);
+  EXPECT_EQ(AsideCount(), 0U);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, AndALostProbeIsRepeated) {
+  SetUpServers({"a", "b", "c"});
+  Answer(50, "");
+  Answer(20, "b");
+  Answer(60, "");
+  ASSERT_EQ(Standing("b"), ServerStanding::kProbe);
+  ProbeSent(m_policy, "b", m_now_us);
+  EXPECT_EQ(Standing("b"), ServerStanding::kAside);
+  m_now_us += 2 * kSecond;
+  EXPECT_EQ(Standing("b"), ServerStanding::kProbe);
+}
+
+TEST_F(OutlierDetectorPutsAsideWithCare, AndAQuietServiceIsProbedLater) {
+  SetUpServers({"a", "b", "c"});
+  Answer(50, "");
+  Answer(10, "b");
+  ASSERT_EQ(Standing("b"), ServerStanding::kAside);
+  m_now_us += 20 * kSecond;
+  EXPECT_EQ(Standing("b"), ServerStanding::kAside);
+  m_now_us += 10 * kSecond;
+  EXPECT_EQ(Standing("b"), ServerStanding::kProbe);
+}
+
+}  // namespace
+}  // namespace guavatrail
--- /dev/null
+++ b/test/correctness/placement_balances_by_load_test.cc
@@ -0,0 +1,98 @@
+// Guards against calls that go to the more loaded of two servers, to a new server at full rate, or
+// never again to a server because of an old report.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <vector>
+
+#include "placement.h"
+
+namespace guavatrail {
+namespace {
+
+constexpr int64_t kSecond = 1'000'000;
+
+std::vector<PlacementCandidate> Servers() {
+  std::vector<PlacementCandidate> servers;
+  for (std::string_view node : {"a1", "a2", "a3"}) {
+    PlacementCandidate server{.node = node, .data_centre = "a", .slots = 9};
+    server.load = {.in_service = 3, .service_us = 5000};
+    server.load_age_us = 0;
+    servers.push_back(server);
+  }
+  return servers;
+}
+
+std::array<int, 3> Shares(const std::vector<PlacementCandidate>& servers, PlacementPolicy policy) {
+  RandomSource random(3);
+  std::array<int, 3> counts{};
+  for (int i = 0; i < 3000; ++i) ++counts.at(Choose(policy, servers, random).value());
+  return counts;
+}
+
+PlacementPolicy TwoChoicesPolicy() { return TwoChoices({.local_data_centre = "a"}); }
+
+TEST(PlacementBalancesByLoad, AndAvoidsTheMostLoaded) {
+  auto servers = Servers();
+  servers[0].load.queued = 4;
+  EXPECT_EQ(Shares(servers, TwoChoicesPolicy())[0], 0);
+  servers = Servers();
+  servers[1].load.service_us = 50'000;
+  EXPECT_EQ(Shares(servers, TwoChoicesPolicy())[1], 0);
+  servers = Servers();
+  servers[2].own_in_flight = 5;  // Calls sent since the report count at once.
+  EXPECT_EQ(Shares(servers, TwoChoicesPolicy())[2], 0);
+}
+
+TEST(PlacementBalancesByLoad, AndForgetsOldReports) {
+  auto servers = Servers();
+  servers[0].load.queued = 9;
+  servers[0].load.service_us = 50'000;
+  servers[0].load_age_us = 5 * kSecond;
+  // It counts as loaded as the others, so it gets a third of the calls but for ties.
+  EXPECT_GT(Shares(servers, TwoChoicesPolicy())[0], 500);
+}
+
+TEST(PlacementBalancesByLoad, AndStartsNewServersSlowly) {
+  auto servers = Servers();
+  servers[0].known_for_us = 0;
+  int at_start = Shares(servers, TwoChoicesPolicy())[0];
+  servers[0].known_for_us = 5 * kSecond;
+  int halfway = Shares(servers, TwoChoicesPolicy())[0];
+  EXPECT_GT(at_start, 30);
+  EXPECT_LT(at_start, 300);
+  EXPECT_GT(halfway, 2 * at_start);
+  EXPECT_LT(halfway, 1000);
+}
+
+TEST(PlacementBalancesByLoad, WhileTheBaselineTakesEachInTurn) {
+  auto servers = Servers();
+  servers[0].load.queued = 100;
+  EXPECT_EQ(Shares(servers, RoundRobin()), (std::array<int, 3>{1000, 1000, 1000}));
+}
+
+TEST(PlacementBalancesByLoad, WithWhatTheTrackerKnows) {
+  LoadTracker tracker;
+  PlacementCandidate server{.node = "a1", .data_centre = "a", .slots = 9};
+  tracker.Fill(server, 0);
+  EXPECT_EQ(server.load_age_us, -1);
+  tracker.Seen("a1", kSecond);
+  tracker.Sent("a1", kSecond);
+  tracker.Sent("a1", kSecond);
+  tracker.Ended("a1");
+  tracker.Reported("a1", {.in_service = 4, .queued = 1, .service_us = 700}, 2 * kSecond);
+  tracker.Sent("a1", 2 * kSecond);
+  tracker.Refused("a1", 500, 2 * kSecond);
+  tracker.Fill(server, 2 * kSecond + 100'000);
+  EXPECT_EQ(server.load, (ServerLoad{4, 1, 700}));
+  EXPECT_EQ(server.load_age_us, 100'000);
+  EXPECT_EQ(server.own_in_flight, 2);
+  EXPECT_EQ(server.own_in_flight_at_report, 1);
+  EXPECT_EQ(server.known_for_us, kSecond + 100'000);
+  EXPECT_TRUE(server.avoid);
+  tracker.Fill(server, 2 * kSecond + 500'000);
+  EXPECT_FALSE(server.avoid);
+}
+
+}  // namespace
+}  // namespace guavatrail
--- a/test/correctness/slowed_servers_are_avoided_test.cc
+++ b/test/correctness/slowed_servers_are_avoided_test.cc
@@ -66,6 +66,29 @@
 
 INSTANTIATE_TEST_SUITE_P(Counts, SlowedServersAreAvoided, testing::Values(1, 2));
 
+// One of 22 services of the target size: 25 servers, and 550 entry nodes of which each sends a
+// server a call about every 6 s. An entry node learns of the slowdown from one answer's load
+// report.
+TEST(SlowedServersAreAvoided, ByManyEntryNodesWithFewCallsEach) {
+  auto target_size = [](ModelOptions options) {
+    options = Slowed(options, 1);
+    options.servers = 25;
+    options.entries = 550;
+    options.phases = {{60 * kSecond, 52'000.0 / 22}};
+    options.slowdowns[0].to_us = 60 * kSecond;
+    return RunModel(options);
+  };
+  ModelResult baseline = target_size(BaselinePolicies());
+  ModelResult ours = target_size(OurPolicies());
+  for (int64_t from_us : {1, 5, 15, 30}) {
+    std::printf("target_size seconds=%ld-%ld share_of_slow baseline=%.4f ours=%.4f\n", from_us,
+                2 * from_us, ShareOfFirst(baseline, from_us * kSecond, 2 * from_us * kSecond),
+                ShareOfFirst(ours, from_us * kSecond, 2 * from_us * kSecond));
+  }
+  EXPECT_LT(ShareOfFirst(ours, 15 * kSecond, 30 * kSecond),
+            ShareOfFirst(baseline, 15 * kSecond, 30 * kSecond) / 2);
+}
+
 TEST(SlowedServersAreAvoided, AQuietServiceLosesNoServer) {
   ModelOptions options = Slowed(OurPolicies(), 0);
   size_t servers = options.servers;
