Add the delivery measurement and fix the platform steps of the runner

Cause: the ways of delivery need figures over real processes; each platform step evaluated the value of every fault, so a duration ended the scenario with a runner error. Change: test/bench/delivery.py measures convergence, control bytes, platform calls, CPU and memory for watch_all, relay, pull and relay with one frozen node; the platform steps read their own value only.

--- /dev/null
+++ b/test/bench/delivery.py
@@ -0,0 +1,198 @@
+#!/usr/bin/env python3
+"""Measures how release notes reach the nodes, for each way of delivery, over real processes.
+
+usage: delivery.py [--build DIR] [--sizes 10,50,150] [--notes N] [--idle SECONDS]
+
+Ways: watch_all (baseline: each node watches the platform), relay, pull, and relay_frozen (relay with
+one paused node, which is left out of the figures). Convergence is counted from the start of the
+publish command; the version of each node is polled in turn, so a figure is late by one sweep at most.
+Prints `measure=NAME nodes=N baseline=B guavatrail=G ratio=R unit=U` lines, R = G / B.
+"""
+import argparse
+import http.client
+import os
+import pathlib
+import re
+import signal
+import sys
+import tempfile
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "test" / "scenarios"))
+
+from fleet import ADMIN, Fleet, StepFailed  # noqa: E402
+from steps import NOTE  # noqa: E402
+from traffic import percentile  # noqa: E402
+
+WAYS = ("watch_all", "relay", "pull", "relay_frozen")
+UNITS = {"convergence_p50": "ms", "convergence_p99": "ms", "convergence_last": "ms",
+         "sweep_time": "ms", "control_sent_idle": "B/s", "control_sent_notes": "B/s",
+         "platform_calls_idle": "1/s", "platform_calls_notes": "1/note", "cpu_idle": "%",
+         "cpu_notes": "%", "memory": "MB"}
+
+
+class Poller:
+    """Notes when each node first reports each version, over connections that stay open."""
+
+    def __init__(self, nodes):
+        self.nodes, self.seen, self.sweeps = nodes, {}, []
+        self.stop = threading.Event()
+        self.connections = {n.name: http.client.HTTPConnection(n.ip, ADMIN, timeout=2)
+                            for n in nodes}
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def poll(self, node):
+        connection = self.connections[node.name]
+        try:
+            connection.request("GET", "/v1/status")
+            text = connection.getresponse().read().decode()
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            return
+        version = int(re.search(r'"version":\s*(\d+)', text)[1])
+        now = time.monotonic()
+        for v in range(version, 0, -1):
+            if (node.name, v) in self.seen:
+                break
+            self.seen[node.name, v] = now
+
+    def run(self):
+        with ThreadPoolExecutor(8) as pool:
+            while not self.stop.wait(0.005):
+                start = time.monotonic()
+                list(pool.map(self.poll, self.nodes))
+                self.sweeps.append(time.monotonic() - start)
+
+    def end(self):
+        self.stop.set()
+        self.thread.join()
+        for connection in self.connections.values():
+            connection.close()
+
+
+def cpu_seconds(pid):
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def memory_mb(pid):
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", status)[1]) / 1024
+
+
+def sent_bytes(node):
+    connection = http.client.HTTPConnection(node.ip, ADMIN, timeout=5)
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    connection.close()
+    found = re.search(r'control_bytes_total\{direction="out"\} (\d+)', text)
+    return int(found[1]) if found else 0
+
+
+def sample(fleet, nodes):
+    stats = fleet.platform_stats()
+    return {"time": time.monotonic(), "calls": stats.get("reads", 0) + stats.get("writes", 0),
+            "sent": sum(map(sent_bytes, nodes)),
+            "cpu": sum(cpu_seconds(n.process.popen.pid) for n in nodes)}
+
+
+def rates(before, after, count):
+    seconds = after["time"] - before["time"]
+    return {"sent": (after["sent"] - before["sent"]) / seconds / count,
+            "cpu": 100 * (after["cpu"] - before["cpu"]) / seconds / count,
+            "calls": after["calls"] - before["calls"], "seconds": seconds}
+
+
+def publish_notes(fleet, nodes, notes, version):
+    """Publishes one note after another; the convergence times in ms of all nodes and notes."""
+    poller, times, last = Poller(nodes), [], []
+    try:
+        for i in range(notes):
+            version += 1
+            path = fleet.dir / f"bench-{version}.toml"
+            path.write_text(NOTE.format(id=f"bench-{version}", action="add", prefix=f"/b{version}",
+                                        route=f"b{version}", service="catalogo", work="lookup"))
+            start = time.monotonic()
+            run = fleet.command("publish", path, platform=True)
+            if run.returncode != 0:
+                raise StepFailed(f"publish: {run.stdout}{run.stderr}")
+            while not all((n.name, version) in poller.seen for n in nodes):
+                if time.monotonic() > start + 30:
+                    raise StepFailed(f"version {version} not in force within 30 s")
+                time.sleep(0.005)
+            taken = [1000 * (poller.seen[n.name, version] - start) for n in nodes]
+            times += taken
+            last.append(max(taken))
+    finally:
+        poller.end()
+    return times, last, 1000 * percentile(poller.sweeps, 0.5)
+
+
+def measure(options, way, count, slot):
+    directory = pathlib.Path(tempfile.mkdtemp(prefix="guavatrail-bench-"))
+    overrides = {"delivery.mode": way.split("_frozen")[0], "log.level": "1"}
+    fleet = Fleet(options.build, directory, (11, 100 + slot), overrides=overrides)
+    try:
+        fleet.add_nodes("gaveta-viva", count)
+        fleet.start_platform()
+        fleet.start_all(servers=False)
+        nodes = list(fleet.nodes.values())
+        run = fleet.command("publish", ROOT / "examples/notes/gaveta-viva.toml", platform=True)
+        if run.returncode != 0:
+            raise StepFailed(f"publish: {run.stdout}{run.stderr}")
+        fleet.wait_in_force(1, 60, nodes)
+        if way == "relay_frozen":
+            nodes[0].process.signal(signal.SIGSTOP)
+            nodes = nodes[1:]
+        time.sleep(options.idle / 2)  # joining traffic is not part of the idle figures
+        first = sample(fleet, nodes)
+        time.sleep(options.idle)
+        second = sample(fleet, nodes)
+        times, last, sweep = publish_notes(fleet, nodes, options.notes, 1)
+        third = sample(fleet, nodes)
+        idle, busy = rates(first, second, len(nodes)), rates(second, third, len(nodes))
+        return {"convergence_p50": percentile(times, 0.5),
+                "convergence_p99": percentile(times, 0.99), "convergence_last": max(last),
+                "sweep_time": sweep, "control_sent_idle": idle["sent"],
+                "control_sent_notes": busy["sent"],
+                "platform_calls_idle": idle["calls"] / idle["seconds"],
+                "platform_calls_notes": busy["calls"] / options.notes, "cpu_idle": idle["cpu"],
+                "cpu_notes": busy["cpu"],
+                "memory": max(memory_mb(n.process.popen.pid) for n in nodes)}
+    finally:
+        fleet.stop_all()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--build", default=ROOT / "build", type=pathlib.Path)
+    parser.add_argument("--sizes", default="10,50,150")
+    parser.add_argument("--notes", type=int, default=20)
+    parser.add_argument("--idle", type=float, default=10)
+    options = parser.parse_args()
+    slot, failed = os.getpid() % 50, 0
+    for count in map(int, options.sizes.split(",")):
+        results = {}
+        for way in WAYS:
+            try:
+                results[way] = measure(options, way, count, slot)
+            except StepFailed as failure:
+                failed += 1
+                print(f"failed: nodes={count} way={way}: {failure}", flush=True)
+        base = results.get("watch_all", {})
+        for way in WAYS[1:]:
+            for name, value in results.get(way, {}).items():
+                old = base.get(name, float("nan"))
+                ratio = value / old if old else float("nan")
+                print(f"measure=delivery_{way}_{name} nodes={count} baseline={old:.2f} "
+                      f"guavatrail={value:.2f} ratio={ratio:.3f} unit={UNITS[name]}", flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/test/scenarios/fleet.py
+++ b/test/scenarios/fleet.py
@@ -149,11 +149,11 @@
             name = f"{service}-{number}"
             self.nodes[name] = Node(name, service, region, centre, real, advertised)
 
-    def start_all(self):
+    def start_all(self, servers=True):
         self.keys = self.make_keys()
         if self.links:
             self.start_forwarder()
-        for node in self.nodes.values():
+        for node in self.nodes.values() if servers else ():
             self.start_server(node)
         for node in self.nodes.values():
             self.start_node(node)
--- a/test/scenarios/steps.py
+++ b/test/scenarios/steps.py
@@ -216,18 +216,20 @@
                     self.fleet.forward(f"{command} {b.name} {a.name}")
 
     def do_platform(self, words, _, __):
-        state = words[0]
-        faults = {
-            "ok": {}, "down": {"down": "refuse"}, "closes": {"down": "close"},
-            "hang": {"down": "hang"},
-            "slow": {"slow_ms": int(1000 * duration(words[-1])) if words[1:] else 0},
-            "stale": {"stale_ms": int(1000 * duration(words[-1])) if words[1:] else 0},
-            "lose-answers": {"lose_write_answers": int(words[1]) if words[1:] else -1},
-            "delay-writes": {"delay_writes_ms": int(1000 * duration(words[-1])) if words[1:] else 0},
-        }
-        if state not in faults:
+        state, value = words[0], (words[1:] or [None])[0]
+        timed = {"slow": "slow_ms", "stale": "stale_ms", "delay-writes": "delay_writes_ms"}
+        outages = {"down": "refuse", "closes": "close", "hang": "hang"}
+        if state in timed:
+            faults = {timed[state]: int(1000 * duration(value))}
+        elif state in outages:
+            faults = {"down": outages[state]}
+        elif state == "lose-answers":
+            faults = {"lose_write_answers": int(value or -1)}
+        elif state == "ok":
+            faults = {}
+        else:
             raise StepFailed(f"unknown platform state {state!r}")
-        self.fleet.platform_faults(**faults[state])
+        self.fleet.platform_faults(**faults)
 
     # Configuration
 
--- /dev/null
+++ b/tools/bench.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds and runs one measurement over real processes: tools/bench.sh delivery [arguments].
+set -euo pipefail
+cd "$(dirname "$0")/.."
+name="${1:?usage: tools/bench.sh NAME [arguments]}"
+shift
+[ -f "test/bench/$name.py" ] || { echo "no measurement named $name in test/bench" >&2; exit 2; }
+tools/build.sh build
+exec python3 "test/bench/$name.py" --build build "$@"
