--- /dev/null
+++ b/test/error/deadline_refuses_other_text_test.cc
@@ -0,0 +1,28 @@
+// Guards against a deadline header that is misread, or that grows along a chain of calls.
+#include <gtest/gtest.h>
+
+#include "deadline.h"
+
+namespace guavatrail {
+namespace {
+
+TEST(DeadlineRefusesOtherText, ReadsMilliseconds) {
+  EXPECT_EQ(ParseDeadlineMs("250"), 250);
+  EXPECT_EQ(ParseDeadlineMs("0"), 0);
+  EXPECT_EQ(ParseDeadlineMs("999999999999"), kMaxDeadlineMs);
+}
+
+TEST(DeadlineRefusesOtherText, RefusesWhatIsNotANumber) {
+  for (const char* text : {"", "-1", "+1", " 1", "1 ", "1.5", "0x10", "9999999999999999999999"}) {
+    EXPECT_FALSE(ParseDeadlineMs(text)) << text;
+  }
+}
+
+TEST(DeadlineRefusesOtherText, NeverGrowsWhenPassedOn) {
+  EXPECT_EQ(FormatDeadlineMs(10'999, 1'000), "9");
+  EXPECT_EQ(FormatDeadlineMs(10'000, 10'000), "0");
+  EXPECT_EQ(FormatDeadlineMs(10'000, 90'000), "0");
+}
+
+}  // namespace
+}  // namespace guavatrail
