Add the connection pool, downstream requests and the stream relay

Cause: calls are forwarded over kept-alive connections, and a caller must get the whole answer to its own request or see that it broke. Change: a bounded pool with one request at a time on a connection and no retries; downstream requests that watch for their sender's leaving; a relay that pauses upstream reading. Large chunks are passed on in parts because evhttp would collect them whole. Conclusion: the proxies can be built on these.

--- /dev/null
+++ b/src/stream_relay.cc
@@ -0,0 +1,35 @@
+#include "stream_relay.h"
+
+#include <event2/buffer.h>
+
+namespace guavatrail {
+
+void StreamRelay::Begin(Exchange& upstream, const AnswerHead& head, const HeaderList& headers) {
+  m_begun = true;
+  m_upstream = &upstream;
+  m_downstream->SetDrainedHandler(kLowBytes, [this] { OnDrained(); });
+  m_downstream->StartReply(head.status, head.reason, headers, head.content_length);
+}
+
+void StreamRelay::Data(evbuffer* data) {
+  m_body_bytes += evbuffer_get_length(data);
+  m_downstream->Send(data);
+  if (m_upstream != nullptr && m_downstream->UnsentBytes() > kHighBytes) {
+    m_upstream->PauseReading();
+  }
+}
+
+void StreamRelay::End(ExchangeEnd end) {
+  m_upstream = nullptr;
+  if (end == ExchangeEnd::kComplete) {
+    m_downstream->FinishReply();
+  } else {
+    m_downstream->Break();
+  }
+}
+
+void StreamRelay::OnDrained() {
+  if (m_upstream != nullptr) m_upstream->ResumeReading();
+}
+
+}  // namespace guavatrail
--- /dev/null
+++ b/test/correctness/stream_relay_bounds_memory_test.cc
@@ -0,0 +1,80 @@
+// Guards against an answer that piles up in the node while its caller reads slowly.
+#include <gtest/gtest.h>
+
+#include "fake_server.h"
+#include "relay_proxy.h"
+#include "test_loop.h"
+
+namespace guavatrail {
+namespace {
+
+constexpr size_t kAnswerBytes = 50'000'000;
+constexpr size_t kBound = 262'144;
+
+class StreamRelayBoundsMemory : public testing::TestWithParam<bool> {
+ protected:
+  // Sends the answer in parts as the connection takes them, so that the server itself stays small.
+  void SendMore(FakeConnection& connection) {
+    constexpr size_t kPart = 65'536;
+    while (m_sent < kAnswerBytes && connection.unsent() < kPart) {
+      size_t n = std::min(kPart, kAnswerBytes - m_sent);
+      connection.Send(std::string(n, 'a'));
+      m_sent += n;
+      if (m_sent == kAnswerBytes && GetParam()) connection.Send("\r\n0\r\n\r\n");
+    }
+  }
+
+  std::string Head() const {
+    char size[32];
+    snprintf(size, sizeof(size), "%zx", kAnswerBytes);
+    // One chunk for the whole answer is the worst case for a parser that collects chunks.
+    return GetParam()
+               ? std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + size +
+                     "\r\n"
+               : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kAnswerBytes) + "\r\n\r\n";
+  }
+
+  EventLoop m_loop;
+  size_t m_sent = 0;
+};
+
+TEST_P(StreamRelayBoundsMemory, WhileTheCallerReadsSlowly) {
+  FakeConnection* connection = nullptr;
+  FakeServer server(m_loop, [&](FakeConnection& c, const std::string&) {
+    connection = &c;
+    c.Send(Head());
+  });
+  RelayProxy proxy(m_loop, server.port());
+  FakeClient client(m_loop, proxy.port());
+  client.Send("GET /manual.pdf HTTP/1.1\r\nHost: a\r\n\r\n");
+  client.PauseReading();
+  size_t largest = 0;
+  auto step = [&] {
+    if (connection != nullptr) SendMore(*connection);
+    if (proxy.calls.empty()) return false;
+    largest = std::max(largest, proxy.calls[0]->downstream->UnsentBytes());
+    return true;
+  };
+  // Nothing moves while the caller does not read, once the socket buffers are full.
+  size_t before = 1;
+  while (before != m_sent || m_sent == 0) {
+    before = m_sent;
+    RunUntil(
+        m_loop, [&] { return step() && false; }, std::chrono::milliseconds(100));
+  }
+  EXPECT_LT(m_sent, kAnswerBytes);
+  EXPECT_TRUE(proxy.calls[0]->exchange->is_paused());
+  client.ResumeReading();
+  ASSERT_TRUE(RunUntil(
+      m_loop, [&] { return step() && proxy.calls[0]->ends > 0; }, std::chrono::seconds(30)));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client.received().size() >= kAnswerBytes; }));
+  RunUntil(m_loop, [&] { return client.HasWholeAnswer(); });
+  EXPECT_EQ(client.body().size(), kAnswerBytes);
+  EXPECT_LT(largest, kBound);
+  EXPECT_GT(largest, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Framing, StreamRelayBoundsMemory, testing::Bool());
+
+}  // namespace
+}  // namespace guavatrail
--- /dev/null
+++ b/test/error/downstream_request_survives_odd_callers_test.cc
@@ -0,0 +1,84 @@
+// Guards against callers that pipeline, leave early or contradict themselves about lengths.
+#include <gtest/gtest.h>
+
+#include "fake_server.h"
+#include "relay_proxy.h"
+#include "test_loop.h"
+
+namespace guavatrail {
+namespace {
+
+class DownstreamRequestSurvivesOddCallers : public testing::Test {
+ protected:
+  EventLoop m_loop;
+};
+
+TEST_F(DownstreamRequestSurvivesOddCallers, PipelinedRequestsAreAnsweredInOrder) {
+  FakeConnection* connection = nullptr;
+  FakeServer server(m_loop, [&](FakeConnection& c, const std::string& request) {
+    if (request.starts_with("GET /1 ")) {
+      connection = &c;
+    } else {
+      c.Send(Answer(200, "two"));
+    }
+  });
+  RelayProxy proxy(m_loop, server.port());
+  FakeClient client(m_loop, proxy.port());
+  client.Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return connection != nullptr; }));
+  client.Send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunFor(m_loop, std::chrono::milliseconds(30));
+  EXPECT_EQ(proxy.calls.size(), 1U);
+  connection->Send(Answer(200, "one"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client.HasWholeAnswer(); }));
+  EXPECT_EQ(client.body(), "one");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client.received().ends_with("two"); }));
+}
+
+TEST_F(DownstreamRequestSurvivesOddCallers, ACallerThatLeavesCancelsUpstream) {
+  FakeConnection* connection = nullptr;
+  FakeServer server(m_loop, [&](FakeConnection& c, const std::string&) { connection = &c; });
+  RelayProxy proxy(m_loop, server.port());
+  FakeClient client(m_loop, proxy.port());
+  client.Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return connection != nullptr; }));
+  client.Close();
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return connection->peer_closed(); }));
+  EXPECT_EQ(proxy.calls[0]->ends, 1);
+}
+
+TEST_F(DownstreamRequestSurvivesOddCallers, ABodyThatEvhttpWouldReadAsARequestIsRefused) {
+  FakeServer server(m_loop,
+                    [&](FakeConnection& c, const std::string&) { c.Send(Answer(200, "")); });
+  RelayProxy proxy(m_loop, server.port());
+  for (const char* request :
+       {"GET /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 24\r\n\r\nGET /2 HTTP/1.1\r\nA: b\r\n\r\n",
+        "DELETE /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\na\r\n0\r\n\r\n",
+        "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"}) {
+    FakeClient client(m_loop, proxy.port());
+    client.Send(request);
+    EXPECT_TRUE(RunUntil(m_loop, [&] { return client.closed_by_peer(); })) << request;
+    EXPECT_EQ(client.status(), 400) << request;
+  }
+  EXPECT_EQ(server.requests(), 0);
+}
+
+TEST_F(DownstreamRequestSurvivesOddCallers, BodiesOverTheLimitAreRefused) {
+  FakeServer server(m_loop,
+                    [&](FakeConnection& c, const std::string&) { c.Send(Answer(200, "")); });
+  RelayProxy proxy(m_loop, server.port());
+  FakeClient client(m_loop, proxy.port());
+  client.Send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1048577\r\n\r\n");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client.status() != 0; }));
+  EXPECT_EQ(client.status(), 413);
+  FakeClient whole(m_loop, proxy.port());
+  whole.Send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1048576\r\n\r\n" +
+             std::string(kMaxRequestBodyBytes, 'x'));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return whole.HasWholeAnswer(); }));
+  EXPECT_EQ(whole.status(), 200);
+}
+
+}  // namespace
+}  // namespace guavatrail
