--- a/src/config_log.h
+++ b/src/config_log.h
@@ -63,9 +63,9 @@
 inline constexpr size_t kMaxObjectBytes = 900'000;
 // Bound on the touched resources of one entry, so that a full head stays below kMaxObjectBytes.
 inline constexpr size_t kMaxTouchedBytes = 4'000;
-// Bound on the parts of a snapshot that a reader accepts: a table of 57.6 MB, far above the few
-// hundred resources of the target size.
-inline constexpr uint32_t kMaxSnapshotParts = 64;
+// Bound on the parts of a snapshot that a reader accepts: a table of 14.4 MB, far above the few
+// hundred resources of the target size and within the 32 MB that a node has for control.
+inline constexpr uint32_t kMaxSnapshotParts = 16;
 
 std::string NoteKey(std::string_view note_id, std::string_view digest);
 // The object whose creation shows that no publisher has tried this id before.
--- a/src/config_store.cc
+++ b/src/config_store.cc
@@ -79,61 +79,63 @@
   }
 };
 
-// Reads the notes after a table and applies them.
-struct TableRead : std::enable_shared_from_this<TableRead> {
+// Reads the snapshot, when it is needed, and the notes after it one after the other.
+struct UpdatesRead : std::enable_shared_from_this<UpdatesRead> {
   PlatformClient& client;
   ConfigHead head;
-  std::shared_ptr<const ConfigTable> table;
+  TableUpdates updates;
   std::vector<LogEntry> entries;
-  size_t next = 0;
-  StoreHandler<std::shared_ptr<const ConfigTable>> handler;
+  StoreHandler<TableUpdates> handler;
 
-  TableRead(PlatformClient& c, const ConfigHead& h, std::shared_ptr<const ConfigTable> base,
-            StoreHandler<std::shared_ptr<const ConfigTable>> done)
-      : client(c), head(h), table(std::move(base)), handler(std::move(done)) {}
+  UpdatesRead(PlatformClient& c, const ConfigHead& h, std::shared_ptr<const ConfigTable> base,
+              StoreHandler<TableUpdates> done)
+      : client(c), head(h), handler(std::move(done)) {
+    updates.base = std::move(base);
+  }
 
   void Start() {
-    if (table == nullptr || table->version() > head.version) {
-      table = std::make_shared<const ConfigTable>();
+    if (updates.base == nullptr || updates.base->version() > head.version) {
+      updates.base = std::make_shared<const ConfigTable>();
+    }
+    uint64_t version = updates.base->version();
+    if (head.snapshot.version <= version || head.version - version <= kSnapshotInterval) {
+      return ReadLog();
     }
-    if (head.snapshot.version <= table->version()) return ReadNotes();
     ReadSnapshot(client, head.snapshot, [self = shared_from_this()](auto bytes) {
       if (!bytes) return self->handler(tl::make_unexpected(bytes.error()));
       auto decoded = DecodeTable(*bytes);
       if (!decoded) return self->handler(Fail(StoreError::Code::kDamaged, decoded.error().message));
-      self->table = std::make_shared<const ConfigTable>(std::move(*decoded));
-      self->ReadNotes();
+      self->updates.base = std::make_shared<const ConfigTable>(std::move(*decoded));
+      self->ReadLog();
     });
   }
 
-  void ReadNotes() {
-    ReadEntries(client, head, table->version() + 1, head.version,
+  void ReadLog() {
+    ReadEntries(client, head, updates.base->version() + 1, head.version,
                 [self = shared_from_this()](auto read) {
                   if (!read) return self->handler(tl::make_unexpected(read.error()));
                   self->entries = std::move(*read);
-                  self->Step();
+                  self->ReadNextNote();
                 });
   }
 
-  void Step() {
-    if (next == entries.size()) return Finish();
-    ReadNoteBytes(client, entries[next], [self = shared_from_this()](auto bytes) {
+  void ReadNextNote() {
+    size_t next = updates.notes.size();
+    if (next == entries.size()) return handler(std::move(updates));
+    ReadNoteBytes(client, entries[next], [self = shared_from_this(), next](auto bytes) {
       if (!bytes) return self->handler(tl::make_unexpected(bytes.error()));
-      self->table = std::make_shared<const ConfigTable>(
-          std::move(ApplyEncodedNote(*self->table, *bytes).table));
-      ++self->next;
-      self->Step();
+      self->updates.notes.emplace_back(self->entries[next], std::move(*bytes));
+      self->ReadNextNote();
     });
   }
+};
 
-  void Finish() {
-    // The notes decide; a differing digest shows a writer that applies them differently.
-    if (head.version > 0 && DigestOf(EncodeTable(*table)) != head.table_digest) {
-      LOG(WARNING) << "event=table_digest_differs version=" << head.version;
-    }
-    handler(table);
+// The notes decide; a differing digest shows a writer that applies them differently.
+void CheckTableDigest(const ConfigHead& head, const ConfigTable& table) {
+  if (head.version > 0 && DigestOf(EncodeTable(table)) != head.table_digest) {
+    LOG(WARNING) << "event=table_digest_differs version=" << head.version;
   }
-};
+}
 
 }  // namespace
 
@@ -184,10 +186,23 @@
   std::make_shared<SnapshotRead>(client, snapshot, std::move(handler))->Step();
 }
 
+void ReadUpdates(PlatformClient& client, const ConfigHead& head,
+                 std::shared_ptr<const ConfigTable> base, StoreHandler<TableUpdates> handler) {
+  std::make_shared<UpdatesRead>(client, head, std::move(base), std::move(handler))->Start();
+}
+
 void ReadTable(PlatformClient& client, const ConfigHead& head,
                std::shared_ptr<const ConfigTable> base,
                StoreHandler<std::shared_ptr<const ConfigTable>> handler) {
-  std::make_shared<TableRead>(client, head, std::move(base), std::move(handler))->Start();
+  ReadUpdates(client, head, std::move(base), [head, handler = std::move(handler)](auto updates) {
+    if (!updates) return handler(tl::make_unexpected(updates.error()));
+    ConfigTable table = *updates->base;
+    for (const auto& [entry, bytes] : updates->notes) {
+      table = std::move(ApplyEncodedNote(table, bytes).table);
+    }
+    CheckTableDigest(head, table);
+    handler(std::make_shared<const ConfigTable>(std::move(table)));
+  });
 }
 
 void ReadHistory(PlatformClient& client, StoreHandler<std::vector<LogEntry>> handler) {
--- a/src/config_store.h
+++ b/src/config_store.h
@@ -44,8 +44,17 @@
 void ReadSnapshot(PlatformClient& client, const SnapshotRef& snapshot,
                   StoreHandler<std::string> handler);
 
-// The table at `head`, built from `base` (null: the empty table) or from the snapshot if that is
-// newer, and the notes after it.
+// A table and the notes that lead from it to the head.
+struct TableUpdates {
+  std::shared_ptr<const ConfigTable> base;
+  std::vector<std::pair<LogEntry, std::string>> notes;  // With their encoded bytes.
+};
+// What leads from `base` (null: the empty table) to `head`. When more than kSnapshotInterval
+// versions lie between, the result starts from the snapshot.
+void ReadUpdates(PlatformClient& client, const ConfigHead& head,
+                 std::shared_ptr<const ConfigTable> base, StoreHandler<TableUpdates> handler);
+
+// The table at `head`, given the table `base` at an earlier version (null: the empty table).
 void ReadTable(PlatformClient& client, const ConfigHead& head,
                std::shared_ptr<const ConfigTable> base,
                StoreHandler<std::shared_ptr<const ConfigTable>> handler);
--- /dev/null
+++ b/src/version_guard.cc
@@ -0,0 +1,161 @@
+#include "version_guard.h"
+
+#include <algorithm>
+
+namespace guavatrail {
+
+namespace {
+
+using KeeperState = GuardState::KeeperState;
+
+// The state of a keeper; inserts one when it is not known.
+KeeperState& StateOf(GuardState& guard, std::string_view keeper) {
+  auto it = guard.keeper_states.find(keeper);
+  if (it == guard.keeper_states.end()) {
+    it = guard.keeper_states.emplace(std::string(keeper), KeeperState{}).first;
+  }
+  return it->second;
+}
+
+template <typename Predicate>
+size_t Count(const GuardState& guard, const std::vector<std::string>& keepers,
+             Predicate predicate) {
+  return static_cast<size_t>(std::count_if(keepers.begin(), keepers.end(), [&](const auto& name) {
+    auto it = guard.keeper_states.find(name);
+    return it != guard.keeper_states.end() && predicate(it->second);
+  }));
+}
+
+bool IsPromised(const GuardState& guard, uint64_t version) {
+  size_t acknowledged =
+      Count(guard, guard.keepers, [&](const KeeperState& k) { return k.acknowledged >= version; });
+  return acknowledged >= KeeperQuorum(guard.keepers.size());
+}
+
+// Whether a message to the keeper is due; if so, sets when the next one is.
+bool IsMessageDue(const GuardState& guard, KeeperState& keeper, int64_t now_ms) {
+  if (now_ms < keeper.next_message_ms) return false;
+  keeper.repeat_ms = keeper.repeat_ms == 0
+                         ? guard.timing.repeat_ms
+                         : std::min<int64_t>(keeper.repeat_ms * 2, guard.timing.longest_repeat_ms);
+  keeper.next_message_ms = now_ms + keeper.repeat_ms;
+  return true;
+}
+
+void QueryFloors(GuardState& guard, int64_t now_ms, GuardActions& actions) {
+  std::vector<std::string> asked = guard.keepers;
+  for (const std::string& keeper : guard.floor_keepers) {
+    if (std::find(asked.begin(), asked.end(), keeper) == asked.end()) asked.push_back(keeper);
+  }
+  for (const std::string& name : asked) {
+    KeeperState& keeper = StateOf(guard, name);
+    // A newly started keeper is asked again, since its answer changes with time.
+    if (keeper.answered && !keeper.newly_started) continue;
+    if (IsMessageDue(guard, keeper, now_ms)) actions.query.push_back(name);
+    actions.next_ms = std::min(actions.next_ms, keeper.next_message_ms);
+  }
+}
+
+void SendPromises(GuardState& guard, uint64_t version, int64_t now_ms, GuardActions& actions) {
+  actions.promise_version = version;
+  for (const std::string& name : guard.keepers) {
+    KeeperState& keeper = StateOf(guard, name);
+    if (keeper.acknowledged >= version) continue;
+    if (keeper.promise_sent < version) {
+      // A new version is promised at once.
+      keeper.promise_sent = version;
+      keeper.next_message_ms = now_ms;
+      keeper.repeat_ms = 0;
+    }
+    if (IsMessageDue(guard, keeper, now_ms)) actions.promise_to.push_back(name);
+    actions.next_ms = std::min(actions.next_ms, keeper.next_message_ms);
+  }
+}
+
+}  // namespace
+
+size_t KeeperQuorum(size_t count) { return std::min<size_t>(count, 2); }
+
+void SetKeepers(GuardState& guard, std::vector<std::string> keepers,
+                std::vector<std::string> floor_keepers) {
+  guard.keepers = std::move(keepers);
+  guard.floor_keepers = std::move(floor_keepers);
+}
+
+void ForgetKeeper(GuardState& guard, std::string_view keeper) {
+  auto it = guard.keeper_states.find(keeper);
+  if (it != guard.keeper_states.end()) guard.keeper_states.erase(it);
+}
+
+void RecordHeld(GuardState& guard, uint64_t version) { guard.held = std::max(guard.held, version); }
+
+void RecordHead(GuardState& guard, uint64_t version) {
+  guard.head = std::max(guard.head.value_or(0), version);
+  guard.platform_reachable = true;
+}
+
+void RecordPlatformFailure(GuardState& guard) { guard.platform_reachable = false; }
+
+void RecordPeerVersion(GuardState& guard, uint64_t version) {
+  guard.highest_told = std::max(guard.highest_told, version);
+}
+
+void RecordPromiseAck(GuardState& guard, std::string_view keeper, uint64_t version) {
+  KeeperState& state = StateOf(guard, keeper);
+  state.acknowledged = std::max(state.acknowledged, version);
+}
+
+void RecordFloorReply(GuardState& guard, std::string_view keeper, uint64_t floor, uint64_t version,
+                      bool newly_started) {
+  KeeperState& state = StateOf(guard, keeper);
+  state.answered = true;
+  state.newly_started = newly_started;
+  state.acknowledged = std::max(state.acknowledged, floor);
+  guard.highest_floor = std::max(guard.highest_floor, floor);
+  RecordPeerVersion(guard, version);
+}
+
+bool MayStart(const GuardState& guard, int64_t now_ms) {
+  if (guard.held < guard.highest_floor || guard.held < guard.highest_told) return false;
+  if (guard.head) {
+    if (guard.held < *guard.head) return false;
+    if (guard.keepers.empty()) return now_ms - guard.start_ms >= guard.timing.lone_start_ms;
+    size_t answered = Count(guard, guard.keepers, [](const KeeperState& k) { return k.answered; });
+    return answered >= KeeperQuorum(guard.keepers.size());
+  }
+  if (guard.platform_reachable || guard.floor_keepers.empty()) return false;
+  size_t answered = Count(guard, guard.floor_keepers,
+                          [](const KeeperState& k) { return k.answered && !k.newly_started; });
+  return answered >= KeeperQuorum(guard.floor_keepers.size());
+}
+
+GuardActions StepGuard(GuardState& guard, int64_t now_ms) {
+  GuardActions actions;
+  if (!guard.serving && !MayStart(guard, now_ms)) {
+    QueryFloors(guard, now_ms, actions);
+    int64_t lone_end_ms = guard.start_ms + guard.timing.lone_start_ms;
+    if (now_ms < lone_end_ms) actions.next_ms = std::min(actions.next_ms, lone_end_ms);
+    return actions;
+  }
+  bool wants_change = !guard.serving || guard.held > guard.in_force;
+  if (wants_change && IsPromised(guard, guard.held)) {
+    guard.serving = true;
+    guard.in_force = guard.held;
+    actions.in_force_changed = true;
+  }
+  // Keepers beyond the quorum and keepers chosen later learn the version too.
+  SendPromises(guard, guard.held, now_ms, actions);
+  return actions;
+}
+
+void PromiseBook::Record(std::string_view node, uint64_t version) {
+  uint64_t& floor = m_floors.try_emplace(std::string(node), 0).first->second;
+  floor = std::max(floor, version);
+}
+
+uint64_t PromiseBook::Floor(std::string_view node) const {
+  auto it = m_floors.find(node);
+  return it == m_floors.end() ? 0 : it->second;
+}
+
+}  // namespace guavatrail
