--- a/src/failure_detector.cc
+++ b/src/failure_detector.cc
@@ -57,6 +57,10 @@
 
 bool FailureDetector::OnReport(const NodeLifetime& node, std::string_view reporter,
                                int64_t now_ms) {
+  auto monitored = m_monitored.find(node.name);
+  bool is_refuted =
+      monitored != m_monitored.end() && node.incarnation < monitored->second.incarnation;
+  if (is_refuted) return false;
   Suspicion& suspicion = m_suspicions[node.name];
   if (node.incarnation < suspicion.incarnation) return false;
   if (suspicion.reporters.empty() || node.incarnation > suspicion.incarnation) {
