Test and measure whole control planes on loopback

Cause: joining, leaving, dying, returning and name conflicts involve sockets, timers and the platform together.

--- /dev/null
+++ b/test/standins/membership_bench.cc
@@ -0,0 +1,249 @@
+// Measures the control traffic, memory and CPU time of control planes that run in one process on
+// loopback addresses, and how fast a silent node is found.
+// usage: membership_bench --nodes N [--seconds S] [--port P]
+#include <glog/logging.h>
+#include <sys/resource.h>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <vector>
+
+#include "control_plane.h"
+
+namespace guavatrail {
+namespace {
+
+constexpr int64_t kSettleMs = 6000;
+constexpr int64_t kLimitMs = 60'000;
+constexpr int64_t kMsPerSecond = 1000;
+// ZMTP and CURVE add this to each message, and IPv4 and TCP to each segment.
+constexpr double kCurveOverheadBytes = 9 + 33;
+constexpr double kSegmentOverheadBytes = 52;
+
+struct BenchOptions {
+  int nodes = 10;
+  int seconds = 20;
+  int port = 21000;
+};
+
+double ResidentMb() {
+  std::ifstream statm("/proc/self/statm");
+  double pages = 0;
+  statm >> pages >> pages;
+  constexpr double kBytesPerMb = 1e6;
+  return pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / kBytesPerMb;
+}
+
+double CpuSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  auto seconds = [](const timeval& t) {
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+std::string IpOf(int i) {
+  constexpr int kPerSubnet = 200;
+  return "127.1." + std::to_string(i / kPerSubnet) + "." + std::to_string(i % kPerSubnet + 1);
+}
+
+Settings SettingsOf(int i, const BenchOptions& options, const std::string& public_key,
+                    const std::string& secret_key) {
+  constexpr int kDataCentres = 6;
+  Settings settings;
+  settings.node = {"node-" + std::to_string(i), "catalogo", "region",
+                   "dc-" + std::to_string(i % kDataCentres)};
+  settings.listen.ip = IpOf(i);
+  settings.listen.control_port = options.port;
+  // Nothing listens there: membership must work without the platform.
+  settings.platform.ip = "127.0.0.1";
+  settings.platform.port = 1;
+  settings.membership.seeds = {IpOf(0) + ":" + std::to_string(options.port),
+                               IpOf(1) + ":" + std::to_string(options.port)};
+  settings.control = {public_key, secret_key};
+  return settings;
+}
+
+struct Node {
+  Node(EventLoop& loop, Settings s, uint64_t seed)
+      : settings(std::move(s)),
+        random(seed),
+        platform(loop, {settings.platform.ip, static_cast<uint16_t>(settings.platform.port)}),
+        plane(loop, settings, platform, metrics, random) {}
+  uint64_t Count(std::string_view name, std::string_view labels = "") {
+    return metrics.GetCounter(name, labels).value();
+  }
+  MemberState StateOf(const std::string& name) {
+    const Endpoint* endpoint = plane.view().endpoints()->FindNode(name);
+    return endpoint == nullptr ? MemberState::kLeft : endpoint->state;
+  }
+  Settings settings;
+  RandomSource random;
+  Metrics metrics;
+  PlatformClient platform;
+  ControlPlane plane;
+};
+
+struct Totals {
+  double messages_in = 0;
+  double messages_out = 0;
+  double bytes_in = 0;
+  double bytes_out = 0;
+  double cpu_s = CpuSeconds();
+};
+
+// The last node has a loop of its own, so that it can stop while its connections stay open.
+class Bench {
+ public:
+  explicit Bench(const BenchOptions& options) : m_options(options) {}
+  int Run();
+
+ private:
+  void Start();
+  void RunFor(int64_t ms) {
+    RunUntil([] { return false; }, ms);
+  }
+  // Returns the time in ms until `done` holds, or -1.
+  int64_t RunUntil(const std::function<bool()>& done, int64_t limit_ms);
+  bool AllSee(MemberState state) const;
+  bool IsComplete() const;
+  Totals Sum() const;
+  void PrintQuiet(const Totals& before, double seconds) const;
+
+  BenchOptions m_options;
+  EventLoop m_loop;
+  EventLoop m_victim_loop;
+  bool m_victim_runs = true;
+  std::vector<std::unique_ptr<Node>> m_nodes;
+  double m_baseline_mb = ResidentMb();
+};
+
+void Bench::Start() {
+  constexpr size_t kZ85Size = 41;
+  std::array<char, kZ85Size> public_key{};
+  std::array<char, kZ85Size> secret_key{};
+  CHECK_EQ(zmq_curve_keypair(public_key.data(), secret_key.data()), 0);
+  for (int i = 0; i < m_options.nodes; ++i) {
+    EventLoop& loop = i + 1 == m_options.nodes ? m_victim_loop : m_loop;
+    Settings settings = SettingsOf(i, m_options, public_key.data(), secret_key.data());
+    m_nodes.push_back(std::make_unique<Node>(loop, settings, static_cast<uint64_t>(i + 1)));
+    auto started = m_nodes.back()->plane.Start();
+    CHECK(started) << started.error().message;
+  }
+}
+
+int64_t Bench::RunUntil(const std::function<bool()>& done, int64_t limit_ms) {
+  constexpr int64_t kSliceMs = 10;
+  int64_t start_us = EventLoop::NowUs();
+  Timer slice(m_loop, [this] { m_loop.Stop(); });
+  while (true) {
+    int64_t passed_ms = (EventLoop::NowUs() - start_us) / kMsPerSecond;
+    if (done()) return passed_ms;
+    if (passed_ms >= limit_ms) return -1;
+    slice.Start(std::chrono::milliseconds(kSliceMs));
+    m_loop.Run();
+    if (m_victim_runs) event_base_loop(m_victim_loop.base(), EVLOOP_NONBLOCK);
+  }
+}
+
+bool Bench::IsComplete() const {
+  for (const auto& node : m_nodes) {
+    if (node->plane.view().endpoints()->all().size() != m_nodes.size()) return false;
+  }
+  return true;
+}
+
+bool Bench::AllSee(MemberState state) const {
+  const std::string& victim = m_nodes.back()->settings.node.name;
+  for (const auto& node : m_nodes) {
+    if (node != m_nodes.back() && node->StateOf(victim) != state) return false;
+  }
+  return true;
+}
+
+Totals Bench::Sum() const {
+  Totals totals;
+  for (const auto& node : m_nodes) {
+    totals.messages_in +=
+        static_cast<double>(node->Count("control_messages_total", "direction=\"in\""));
+    totals.messages_out +=
+        static_cast<double>(node->Count("control_messages_total", "direction=\"out\""));
+    totals.bytes_in += static_cast<double>(node->Count("control_bytes_total", "direction=\"in\""));
+    totals.bytes_out +=
+        static_cast<double>(node->Count("control_bytes_total", "direction=\"out\""));
+  }
+  return totals;
+}
+
+void Bench::PrintQuiet(const Totals& before, double seconds) const {
+  Totals after = Sum();
+  double node_seconds = seconds * static_cast<double>(m_nodes.size());
+  double out = (after.messages_out - before.messages_out) / node_seconds;
+  double bytes_out = (after.bytes_out - before.bytes_out) / node_seconds;
+  double on_wire = bytes_out + out * (kCurveOverheadBytes + kSegmentOverheadBytes);
+  std::cout << "quiet messages_out_per_s=" << out << " payload_out_bytes_per_s=" << bytes_out
+            << " payload_in_bytes_per_s=" << (after.bytes_in - before.bytes_in) / node_seconds
+            << " estimated_wire_out_bytes_per_s=" << on_wire
+            << " cpu_percent_of_core=" << 100 * (after.cpu_s - before.cpu_s) / node_seconds
+            << " memory_mb=" << (ResidentMb() - m_baseline_mb) / static_cast<double>(m_nodes.size())
+            << '\n';
+}
+
+int Bench::Run() {
+  Start();
+  std::cout << "nodes=" << m_options.nodes << " join_ms=" << std::flush
+            << RunUntil([this] { return IsComplete(); }, kLimitMs) << std::endl;
+  RunFor(kSettleMs);
+  Totals before = Sum();
+  RunFor(m_options.seconds * kMsPerSecond);
+  PrintQuiet(before, m_options.seconds);
+
+  m_victim_runs = false;
+  int64_t dead_ms = RunUntil([this] { return AllSee(MemberState::kDead); }, kLimitMs);
+  std::cout << "silent_node dead_everywhere_ms=" << dead_ms << std::endl;
+  m_victim_runs = true;
+  int64_t back_ms = RunUntil([this] { return AllSee(MemberState::kAlive); }, kLimitMs);
+  std::cout << "resumed_node alive_everywhere_ms=" << back_ms << std::endl;
+
+  uint64_t deaths = 0;
+  uint64_t suspicions = 0;
+  uint64_t exchanges = 0;
+  for (const auto& node : m_nodes) {
+    deaths += node->Count("control_deaths_total");
+    suspicions += node->Count("control_suspicions_total");
+    exchanges += node->Count("control_member_exchanges_total");
+  }
+  std::cout << "suspicions=" << suspicions << " deaths=" << deaths << " exchanges=" << exchanges
+            << std::endl;
+  return dead_ms < 0 || back_ms < 0 ? 1 : 0;
+}
+
+}  // namespace
+}  // namespace guavatrail
+
+int main(int argc, char** argv) {
+  google::InitGoogleLogging(argv[0]);
+  FLAGS_logtostderr = true;
+  guavatrail::BenchOptions options;
+  try {
+    TCLAP::CmdLine command("Measures membership on loopback.");
+    TCLAP::ValueArg<int> nodes("n", "nodes", "Control planes to start.", false, options.nodes,
+                               "number", command);
+    TCLAP::ValueArg<int> seconds("s", "seconds", "Length of the quiet measurement.", false,
+                                 options.seconds, "seconds", command);
+    TCLAP::ValueArg<int> port("p", "port", "Control port of all nodes.", false, options.port,
+                              "port", command);
+    command.parse(argc, argv);
+    options = {nodes.getValue(), seconds.getValue(), port.getValue()};
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << error.error() << ": " << error.argId() << '\n';
+    return 2;
+  }
+  return guavatrail::Bench(options).Run();
+}
