--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -214,6 +214,20 @@
   return m_bev == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(m_bev));
 }
 
+void PendingReplies::Reply(std::unique_ptr<DownstreamRequest> request, int status,
+                           const HeaderList& headers, std::string_view body) {
+  DownstreamRequest* raw = request.get();
+  if (raw->has_ended()) return;
+  m_requests[raw] = std::move(request);
+  raw->SetEndHandler([this, raw](bool) {
+    m_deferred.Post([this, raw] {
+      m_requests.erase(raw);
+      if (m_requests.empty() && m_on_empty) m_on_empty();
+    });
+  });
+  raw->Reply(status, headers, body);
+}
+
 HttpListener::HttpListener(EventLoop& loop, Handler handler)
     : m_loop(loop), m_handler(std::move(handler)), m_deferred(loop) {}
 
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -95,6 +96,23 @@
   uint64_t m_written = 0;
 };
 
+// Keeps requests that were answered at once until their answers are written.
+class PendingReplies {
+ public:
+  explicit PendingReplies(EventLoop& loop) : m_deferred(loop) {}
+
+  void Reply(std::unique_ptr<DownstreamRequest> request, int status, const HeaderList& headers,
+             std::string_view body = "");
+  bool empty() const { return m_requests.empty(); }
+  // Called whenever the last one has been written.
+  void SetEmptyHandler(std::function<void()> handler) { m_on_empty = std::move(handler); }
+
+ private:
+  std::map<DownstreamRequest*, std::unique_ptr<DownstreamRequest>> m_requests;
+  std::function<void()> m_on_empty;
+  DeferredQueue m_deferred;
+};
+
 class HttpListener {
  public:
   using Handler = std::function<void(std::unique_ptr<DownstreamRequest>)>;
--- a/src/http_headers.cc
+++ b/src/http_headers.cc
@@ -80,6 +80,13 @@
   headers.emplace_back(name, value);
 }
 
+void SetRetryAfter(HeaderList& headers, int64_t retry_after_ms) {
+  constexpr int64_t kMsPerSecond = 1000;
+  int64_t seconds = (retry_after_ms + kMsPerSecond - 1) / kMsPerSecond;
+  SetHeader(headers, "Retry-After", std::to_string(std::max<int64_t>(1, seconds)));
+  SetHeader(headers, kRetryAfterMsHeader, std::to_string(retry_after_ms));
+}
+
 HeaderList EndToEndHeaders(const evkeyvalq* headers) {
   std::vector<std::string_view> declared = DeclaredHopByHop(headers);
   HeaderList list;
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -27,6 +27,8 @@
 inline constexpr char kServerTimeHeader[] = "X-Guavatrail-Server-Us";
 // Status of a finished order whose answer is not kept.
 inline constexpr char kOrderStatusHeader[] = "X-Guavatrail-Order-Status";
+// Like Retry-After, in milliseconds.
+inline constexpr char kRetryAfterMsHeader[] = "X-Guavatrail-Retry-After-Ms";
 inline constexpr char kOrderKeyHeader[] = "Idempotency-Key";
 
 // Paths of the node's own on the peer port; callers cannot reach them.
@@ -44,6 +46,7 @@
 inline constexpr char kReasonDraining[] = "draining";
 inline constexpr char kReasonOverload[] = "overload";
 inline constexpr char kReasonFenced[] = "fenced";
+inline constexpr char kReasonUnreachable[] = "unreachable";
 
 // Bounds that evhttp does not set by itself.
 inline constexpr size_t kMaxHeaderBytes = 65'536;
@@ -69,6 +72,9 @@
 void RemoveHeader(HeaderList& headers, std::string_view name);
 void SetHeader(HeaderList& headers, std::string_view name, std::string_view value);
 
+// Adds Retry-After, in whole seconds and at least 1, and its value in milliseconds.
+void SetRetryAfter(HeaderList& headers, int64_t retry_after_ms);
+
 // Headers that a proxy passes on: without hop-by-hop headers, Content-Length and Expect, which
 // belong to one connection.
 HeaderList EndToEndHeaders(const evkeyvalq* headers);
--- /dev/null
+++ b/src/serving_proxy.cc
@@ -0,0 +1,487 @@
+#include "serving_proxy.h"
+
+#include <event2/buffer.h>
+#include <glog/logging.h>
+
+#include "deadline.h"
+#include "placement.h"
+#include "stream_relay.h"
+
+namespace guavatrail {
+
+namespace {
+
+constexpr int64_t kUsPerMs = 1000;
+constexpr int64_t kDefaultDeadlineMs = 30'000;
+// An idle server connection may be closed by the server just as a request is written. Work that
+// must not be repeated takes only connections used within this time.
+constexpr std::chrono::milliseconds kFreshIdle{1'000};
+constexpr std::chrono::milliseconds kUsualIdle{60'000};
+// An answer that has begun may take any time as long as bytes come.
+constexpr std::chrono::milliseconds kStreamIdle{30'000};
+// Keyed orders run on after their caller was told that the outcome is unknown, so that a repeat of
+// the key learns it.
+constexpr std::chrono::milliseconds kOrderOvertime{30'000};
+constexpr std::chrono::milliseconds kQueueCheck{20};
+constexpr int64_t kDrainRetryAfterMs = 100;
+constexpr std::string_view kDefaultWork = "unnamed;importance=1;short;once";
+
+AdmissionPolicy MakeAdmission(const Settings& settings) {
+  if (settings.calls.admission == "unlimited") {
+    return UnlimitedAdmission({.concurrency = static_cast<int>(settings.server.connections)});
+  }
+  return SlotAdmission(
+      {.slots = static_cast<int>(settings.server.slots),
+       .reserved_short_slots = static_cast<int>(settings.server.reserved_short_slots),
+       .queue_limit = static_cast<int>(settings.calls.queue_limit)});
+}
+
+WorkTag WorkOf(const DownstreamRequest& request) {
+  const std::string* text = FindHeader(request.headers(), kWorkHeader);
+  std::optional<WorkTag> work = ParseWorkTag(text == nullptr ? kDefaultWork : *text);
+  return work ? *work : *ParseWorkTag(kDefaultWork);
+}
+
+int64_t DeadlineOf(const DownstreamRequest& request) {
+  const std::string* text = FindHeader(request.headers(), kDeadlineHeader);
+  std::optional<int64_t> ms = text == nullptr ? std::nullopt : ParseDeadlineMs(*text);
+  return request.arrival_us() + ms.value_or(kDefaultDeadlineMs) * kUsPerMs;
+}
+
+std::string RequestIdOf(const DownstreamRequest& request) {
+  const std::string* id = FindHeader(request.headers(), kRequestIdHeader);
+  return id == nullptr ? "" : *id;
+}
+
+std::string KeyOf(const DownstreamRequest& request) {
+  const std::string* key = FindHeader(request.headers(), kOrderKeyHeader);
+  return key == nullptr ? "" : *key;
+}
+
+}  // namespace
+
+struct ServingProxy::Call {
+  enum class Phase {
+    kQueued,
+    kRunning,  // Holds a slot.
+    kEnded,    // Left the admission policy.
+  };
+
+  Call(EventLoop& loop, std::unique_ptr<DownstreamRequest> request, std::function<void()> on_timer)
+      : downstream(std::move(request)), relay(*downstream), timer(loop, std::move(on_timer)) {}
+
+  bool is_keyed() const { return serial != 0; }
+  // Whether the answer still goes to the sender of the request.
+  bool is_attached() const { return !downstream->has_ended() && !is_given_up; }
+
+  uint64_t id = 0;
+  uint64_t serial = 0;  // Of keyed orders; 0 otherwise.
+  std::string request_id;
+  WorkTag work;
+  Phase phase = Phase::kQueued;
+  int64_t deadline_us = 0;
+  int64_t start_us = 0;
+  bool is_given_up = false;  // The sender was told that the outcome is unknown.
+  bool is_second_try = false;
+  bool may_have_left = false;  // An earlier try may have reached the server.
+  StoredAnswer answer;  // Of keyed orders.
+  bool is_storable = true;
+  std::unique_ptr<DownstreamRequest> downstream;
+  StreamRelay relay;
+  std::unique_ptr<Exchange> exchange;
+  Timer timer;  // The deadline; while an answer is streamed, the check for a stalled server.
+};
+
+ServingProxy::ServingProxy(EventLoop& loop, const Settings& settings, uint64_t incarnation,
+                           Metrics& metrics, RandomSource&)
+    : m_loop(loop),
+      m_name(settings.node.name),
+      m_metrics(metrics),
+      m_admission(MakeAdmission(settings)),
+      m_orders(settings.node.name, incarnation),
+      m_pool(loop, {.ip = settings.server.ip,
+                    .port = static_cast<uint16_t>(settings.server.port),
+                    .max_connections = static_cast<size_t>(settings.server.connections)}),
+      m_listener(loop, [this](std::unique_ptr<DownstreamRequest> r) { OnRequest(std::move(r)); }),
+      m_ip(settings.listen.ip),
+      m_configured_port(static_cast<uint16_t>(settings.listen.peer_port)),
+      m_replies(loop),
+      m_queue_timer(loop, [this] { WatchQueue(); }),
+      m_deferred(loop) {
+  m_replies.SetEmptyHandler([this] { CheckIdle(); });
+}
+
+ServingProxy::~ServingProxy() = default;
+
+tl::expected<void, ProxyError> ServingProxy::Listen() {
+  auto listening = m_listener.Listen(m_ip, m_configured_port);
+  if (!listening) return tl::make_unexpected(ProxyError{"peer port: " + listening.error()});
+  return {};
+}
+
+void ServingProxy::StartDrain(std::function<void()> idle) {
+  m_draining = true;
+  m_on_idle = std::move(idle);
+  LOG(INFO) << "event=drain_started node=" << m_name << " calls=" << m_calls.size();
+  m_deferred.Post([this] { CheckIdle(); });
+}
+
+HeaderList ServingProxy::NodeHeaders(std::string_view outcome, std::string_view request_id) const {
+  AdmissionLoad load = LoadOf(m_admission);
+  HeaderList headers = {{kOutcomeHeader, std::string(outcome)},
+                        {kLoadHeader, FormatLoad({load.in_service, load.queued, load.service_us})}};
+  // Entry nodes check that an answer belongs to their request.
+  if (!request_id.empty()) SetHeader(headers, kRequestIdHeader, request_id);
+  return headers;
+}
+
+void ServingProxy::OnRequest(std::unique_ptr<DownstreamRequest> request) {
+  if (request->path().starts_with(kOwnPathPrefix)) {
+    OnOwnPath(std::move(request));
+    return;
+  }
+  WorkTag work = WorkOf(*request);
+  if (work.mode == RunMode::kKeyed) {
+    OnOrder(std::move(request), work);
+  } else if (m_draining) {
+    RefuseDraining(std::move(request));
+  } else {
+    Admit(std::move(request), work, 0);
+  }
+}
+
+void ServingProxy::OnOwnPath(std::unique_ptr<DownstreamRequest> request) {
+  std::string path(request->path());
+  if (path == kOrderKeyPath && request->method() == EVHTTP_REQ_POST) {
+    IssueKey(std::move(request));
+  } else if (path == kFencePath && request->method() == EVHTTP_REQ_POST) {
+    Fence(std::move(request));
+  } else if (path.starts_with(kProbePathPrefix) && request->method() == EVHTTP_REQ_GET) {
+    Probe(std::move(request));
+  } else {
+    m_replies.Reply(std::move(request), kHttpNotFound, NodeHeaders(kOutcomeNotRun, ""));
+  }
+}
+
+void ServingProxy::IssueKey(std::unique_ptr<DownstreamRequest> request) {
+  if (m_draining) {
+    RefuseDraining(std::move(request));
+    return;
+  }
+  HeaderList headers = NodeHeaders(kOutcomeAnswered, RequestIdOf(*request));
+  SetHeader(headers, kOrderKeyHeader, m_orders.IssueKey());
+  m_metrics.GetCounter("order_keys_issued_total").Add();
+  m_replies.Reply(std::move(request), kHttpOk, headers);
+}
+
+void ServingProxy::Fence(std::unique_ptr<DownstreamRequest> request) {
+  std::string_view outcome =
+      m_orders.Fence(KeyOf(*request), [this](uint64_t serial) { return Withdraw(serial); });
+  m_metrics.GetCounter("order_fences_total", "outcome=\"" + std::string(outcome) + "\"").Add();
+  HeaderList headers = NodeHeaders(outcome, RequestIdOf(*request));
+  m_replies.Reply(std::move(request), kHttpOk, headers);
+}
+
+// Takes an order that still waits out of the queue.
+bool ServingProxy::Withdraw(uint64_t serial) {
+  auto it = m_by_serial.find(serial);
+  if (it == m_by_serial.end() || it->second->phase != Call::Phase::kQueued) return false;
+  Call& call = *it->second;
+  Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+  Refuse(call, kDrainRetryAfterMs, kReasonFenced);
+  return true;
+}
+
+// The answer counts the bytes written, so that the entry node can tell an answer that is lost on a
+// silent connection from one that is not ready.
+void ServingProxy::Probe(std::unique_ptr<DownstreamRequest> request) {
+  std::string id(request->path().substr(kProbePathPrefix.size()));
+  auto it = m_by_request_id.find(id);
+  if (it == m_by_request_id.end()) {
+    m_replies.Reply(std::move(request), kHttpNotFound, NodeHeaders(kOutcomeUnknown, ""));
+    return;
+  }
+  std::string body = std::to_string(it->second->downstream->written_bytes());
+  m_replies.Reply(std::move(request), kHttpOk, NodeHeaders(kOutcomeRunning, ""), body);
+}
+
+void ServingProxy::OnOrder(std::unique_ptr<DownstreamRequest> request, const WorkTag& work) {
+  auto serial = m_orders.Arrive(KeyOf(*request), m_draining);
+  if (serial) {
+    Admit(std::move(request), work, *serial);
+    return;
+  }
+  OrderAnswer& answer = serial.error();
+  const std::string* outcome = FindHeader(answer.headers, kOutcomeHeader);
+  for (auto& [name, value] : NodeHeaders(*outcome, RequestIdOf(*request))) {
+    SetHeader(answer.headers, name, value);
+  }
+  m_metrics.GetCounter("order_repeats_total", "outcome=\"" + *outcome + "\"").Add();
+  m_replies.Reply(std::move(request), answer.status, answer.headers, answer.body);
+}
+
+void ServingProxy::RefuseDraining(std::unique_ptr<DownstreamRequest> request) {
+  HeaderList headers = NodeHeaders(kOutcomeNotRun, RequestIdOf(*request));
+  SetHeader(headers, kReasonHeader, kReasonDraining);
+  SetRetryAfter(headers, kDrainRetryAfterMs);
+  m_metrics.GetCounter("serving_refused_total", "reason=\"draining\"").Add();
+  m_replies.Reply(std::move(request), kHttpServiceUnavailable, headers);
+}
+
+void ServingProxy::Admit(std::unique_ptr<DownstreamRequest> request, const WorkTag& work,
+                         uint64_t serial) {
+  uint64_t id = m_next_id++;
+  auto owned =
+      std::make_unique<Call>(m_loop, std::move(request), [this, id] { OnTimer(*m_calls.at(id)); });
+  Call& call = *owned;
+  m_calls[id] = std::move(owned);
+  call.id = id;
+  call.serial = serial;
+  call.work = work;
+  call.request_id = RequestIdOf(*call.downstream);
+  call.deadline_us = DeadlineOf(*call.downstream);
+  if (!call.request_id.empty()) m_by_request_id[call.request_id] = &call;
+  if (serial != 0) m_by_serial[serial] = &call;
+  call.downstream->SetEndHandler([this, &call](bool written) { OnDownstreamEnd(call, written); });
+  int64_t now_us = EventLoop::NowUs();
+  AdmissionDecision decision = Arrive(m_admission,
+                                      {.id = id,
+                                       .importance = work.importance,
+                                       .is_short = work.is_short,
+                                       .deadline_us = call.deadline_us,
+                                       .arrival_us = call.downstream->arrival_us()},
+                                      now_us);
+  call.timer.Start(std::chrono::microseconds(std::max<int64_t>(0, call.deadline_us - now_us)));
+  Apply({.refuse = decision.evicted});
+  if (decision.action == AdmissionDecision::Action::kRun) Run(call);
+  if (decision.action == AdmissionDecision::Action::kQueue) WatchQueue();
+  if (decision.action == AdmissionDecision::Action::kRefuse) {
+    Refuse(call, decision.retry_after_ms, kReasonOverload);
+  }
+  ReportLoad();
+}
+
+void ServingProxy::Apply(const AdmissionChanges& changes) {
+  for (const AdmissionRefusal& refusal : changes.refuse) {
+    auto it = m_calls.find(refusal.id);
+    if (it != m_calls.end()) Refuse(*it->second, refusal.retry_after_ms, kReasonOverload);
+  }
+  for (uint64_t id : changes.start) {
+    auto it = m_calls.find(id);
+    if (it != m_calls.end()) Run(*it->second);
+  }
+}
+
+void ServingProxy::WatchQueue() {
+  Apply(Expire(m_admission, EventLoop::NowUs()));
+  if (LoadOf(m_admission).queued > 0) m_queue_timer.Start(kQueueCheck);
+  ReportLoad();
+}
+
+// Nothing of the call has reached the server.
+void ServingProxy::Refuse(Call& call, int64_t retry_after_ms, std::string_view reason) {
+  call.phase = Call::Phase::kEnded;
+  call.timer.Cancel();
+  if (call.is_keyed()) m_orders.ledger().FinishNotRun(call.serial);
+  AnswerNotRun(call, reason, retry_after_ms);
+  RemoveIfEnded(call);
+}
+
+void ServingProxy::AnswerNotRun(Call& call, std::string_view reason, int64_t retry_after_ms) {
+  m_metrics.GetCounter("serving_refused_total", "reason=\"" + std::string(reason) + "\"").Add();
+  if (!call.is_attached()) return;
+  HeaderList headers = NodeHeaders(kOutcomeNotRun, call.request_id);
+  SetHeader(headers, kReasonHeader, reason);
+  SetRetryAfter(headers, retry_after_ms);
+  call.downstream->Reply(kHttpServiceUnavailable, headers, "");
+}
+
+void ServingProxy::AnswerUnknown(Call& call, int status) {
+  if (!call.is_attached()) return;
+  call.downstream->Reply(status, NodeHeaders(kOutcomeUnknown, call.request_id), "");
+}
+
+void ServingProxy::Run(Call& call) {
+  call.phase = Call::Phase::kRunning;
+  call.start_us = EventLoop::NowUs();
+  m_metrics.GetHistogram("serving_queue_wait_us")
+      .Record(call.start_us - call.downstream->arrival_us());
+  Send(call, call.work.mode == RunMode::kRepeatable ? kUsualIdle : kFreshIdle);
+}
+
+void ServingProxy::Send(Call& call, std::chrono::milliseconds max_idle) {
+  HeaderList headers = call.downstream->headers();
+  RemoveNodeHeaders(headers);
+  SetHeader(headers, kDeadlineHeader, FormatDeadlineMs(call.deadline_us, EventLoop::NowUs()));
+  if (!call.request_id.empty()) SetHeader(headers, kRequestIdHeader, call.request_id);
+  call.exchange = m_pool.Send({.method = call.downstream->method(),
+                               .uri = call.downstream->target(),
+                               .headers = std::move(headers),
+                               .body = call.downstream->body(),
+                               .max_idle = max_idle},
+                              {.head = [this, &call](const AnswerHead& h) { OnHead(call, h); },
+                               .data = [this, &call](evbuffer* d) { OnData(call, d); },
+                               .done = [this, &call](ExchangeEnd e) { OnDone(call, e); }});
+}
+
+void ServingProxy::OnHead(Call& call, const AnswerHead& head) {
+  HeaderList headers = head.headers;
+  RemoveNodeHeaders(headers);
+  int64_t server_us = EventLoop::NowUs() - call.start_us;
+  m_metrics.GetHistogram("server_answer_us", "kind=\"" + call.work.name + "\"").Record(server_us);
+  if (call.is_keyed()) call.answer = {head.status, headers, ""};
+  if (!call.is_attached()) return;
+  call.timer.Start(kStreamIdle);
+  for (auto& [name, value] : NodeHeaders(kOutcomeAnswered, call.request_id)) {
+    SetHeader(headers, name, value);
+  }
+  SetHeader(headers, kServerTimeHeader, std::to_string(server_us));
+  call.relay.Begin(*call.exchange, head, headers);
+}
+
+void ServingProxy::OnData(Call& call, evbuffer* data) {
+  if (call.is_keyed() && call.is_storable) {
+    size_t length = evbuffer_get_length(data);
+    size_t old = call.answer.body.size();
+    call.is_storable = old + length <= m_orders.ledger().limits().answer_bytes;
+    if (call.is_storable) {
+      call.answer.body.resize(old + length);
+      evbuffer_copyout(data, call.answer.body.data() + old, length);
+    }
+  }
+  if (call.is_attached()) {
+    call.relay.Data(data);
+  } else {
+    evbuffer_drain(data, evbuffer_get_length(data));
+  }
+}
+
+void ServingProxy::OnDone(Call& call, ExchangeEnd end) {
+  bool is_safe = call.work.mode == RunMode::kRepeatable || end == ExchangeEnd::kNotSent;
+  call.may_have_left = call.may_have_left || end == ExchangeEnd::kBroken;
+  if (end != ExchangeEnd::kComplete && is_safe && !call.is_second_try && !call.relay.has_begun() &&
+      call.is_attached()) {
+    // The server may have closed a kept-alive connection just as the request was written.
+    call.is_second_try = true;
+    Send(call, std::chrono::milliseconds(0));
+    return;
+  }
+  call.phase = Call::Phase::kEnded;
+  call.timer.Cancel();
+  int64_t now_us = EventLoop::NowUs();
+  if (call.is_keyed()) FinishOrder(call, end);
+  if (call.relay.has_begun()) {
+    if (call.is_attached()) call.relay.End(end);
+  } else if (!call.may_have_left) {
+    AnswerNotRun(call, kReasonUnreachable, kDrainRetryAfterMs);
+  } else {
+    AnswerUnknown(call, kHttpBadGateway);
+  }
+  Apply(end == ExchangeEnd::kComplete ? Finish(m_admission, call.id, now_us - call.start_us, now_us)
+                                      : Cancel(m_admission, call.id, now_us));
+  ReportLoad();
+  RemoveIfEnded(call);
+}
+
+void ServingProxy::FinishOrder(Call& call, ExchangeEnd end) {
+  OrderLedger& ledger = m_orders.ledger();
+  if (end == ExchangeEnd::kNotSent) {
+    ledger.FinishNotRun(call.serial);
+  } else if (end == ExchangeEnd::kBroken) {
+    ledger.FinishUnknown(call.serial);
+  } else if (call.is_storable) {
+    ledger.FinishAnswered(call.serial, std::move(call.answer));
+  } else {
+    ledger.FinishUnstored(call.serial, call.answer.status);
+  }
+}
+
+// The deadline has passed, or an answer that has begun may have stalled.
+void ServingProxy::OnTimer(Call& call) {
+  if (call.phase == Call::Phase::kQueued) {
+    Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+    Refuse(call, kDrainRetryAfterMs, kReasonOverload);
+    return;
+  }
+  bool is_streaming = call.relay.has_begun() && call.is_attached();
+  int64_t idle_us = EventLoop::NowUs() - call.exchange->last_activity_us();
+  if (is_streaming && (call.exchange->is_paused() || idle_us < kStreamIdle.count() * kUsPerMs)) {
+    call.timer.Start(kStreamIdle);
+    return;
+  }
+  bool runs_on = call.is_keyed() && call.exchange->may_have_left();
+  if (is_streaming || call.is_given_up || !runs_on) {
+    GiveUp(call);
+    return;
+  }
+  call.timer.Start(kOrderOvertime);
+  AnswerUnknown(call, kHttpGatewayTimeout);
+  call.is_given_up = true;
+}
+
+// Stops a running call at once; closing its connection cancels it at the server.
+void ServingProxy::GiveUp(Call& call) {
+  if (call.phase != Call::Phase::kRunning) return;
+  call.phase = Call::Phase::kEnded;
+  call.timer.Cancel();
+  bool not_run = !call.may_have_left && !call.exchange->may_have_left();
+  call.exchange.reset();
+  if (call.is_keyed()) FinishOrder(call, not_run ? ExchangeEnd::kNotSent : ExchangeEnd::kBroken);
+  if (call.relay.has_begun()) {
+    if (call.is_attached()) call.relay.End(ExchangeEnd::kBroken);
+  } else if (not_run) {
+    AnswerNotRun(call, kReasonOverload, kDrainRetryAfterMs);
+  } else {
+    AnswerUnknown(call, kHttpGatewayTimeout);
+  }
+  Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+  ReportLoad();
+  RemoveIfEnded(call);
+}
+
+void ServingProxy::OnDownstreamEnd(Call& call, bool written) {
+  if (!written && call.phase == Call::Phase::kQueued) {
+    call.phase = Call::Phase::kEnded;
+    if (call.is_keyed()) m_orders.ledger().FinishNotRun(call.serial);
+    Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+    ReportLoad();
+  } else if (!written && call.phase == Call::Phase::kRunning) {
+    if (call.is_keyed()) {
+      // The order runs on; a repeat of its key gets the answer.
+      call.exchange->ResumeReading();
+      if (!call.is_given_up) call.timer.Start(kOrderOvertime);
+      call.is_given_up = true;
+    } else {
+      GiveUp(call);
+    }
+  }
+  RemoveIfEnded(call);
+}
+
+void ServingProxy::RemoveIfEnded(Call& call) {
+  if (call.phase != Call::Phase::kEnded || !call.downstream->has_ended()) return;
+  auto by_id = m_by_request_id.find(call.request_id);
+  if (by_id != m_by_request_id.end() && by_id->second == &call) m_by_request_id.erase(by_id);
+  m_by_serial.erase(call.serial);
+  // The call may be in one of its own callbacks.
+  m_deferred.Post([this, id = call.id] {
+    m_calls.erase(id);
+    CheckIdle();
+  });
+}
+
+void ServingProxy::CheckIdle() {
+  if (!m_draining || !m_calls.empty() || !m_replies.empty() || !m_on_idle) return;
+  LOG(INFO) << "event=drain_finished node=" << m_name;
+  std::function<void()> idle = std::move(m_on_idle);
+  m_on_idle = nullptr;
+  idle();
+}
+
+void ServingProxy::ReportLoad() {
+  AdmissionLoad load = LoadOf(m_admission);
+  m_metrics.GetGauge("serving_in_service").Set(load.in_service);
+  m_metrics.GetGauge("serving_queued").Set(load.queued);
+}
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/serving_proxy.h
@@ -0,0 +1,98 @@
+// Defines ServingProxy, the peer port of a node: it admits calls from entry nodes, runs them on the
+// backend server beside it, and keeps the ledger of the orders bound to this node.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+#include <unordered_map>
+
+#include "admission.h"
+#include "connection_pool.h"
+#include "downstream_request.h"
+#include "event_loop.h"
+#include "keyed_orders.h"
+#include "metrics.h"
+#include "proxy_error.h"
+#include "random_source.h"
+#include "settings.h"
+#include "work_tag.h"
+
+namespace guavatrail {
+
+class ServingProxy {
+ public:
+  // `incarnation` is that of the process start; keys of another one are never run.
+  ServingProxy(EventLoop& loop, const Settings& settings, uint64_t incarnation, Metrics& metrics,
+               RandomSource& random);
+  ~ServingProxy();
+  ServingProxy(const ServingProxy&) = delete;
+  ServingProxy& operator=(const ServingProxy&) = delete;
+
+  // Opens the peer port. The error says which port and why.
+  tl::expected<void, ProxyError> Listen();
+  // Refuses new work as not run from now on, and calls `idle` once when everything admitted before
+  // has been answered whole.
+  void StartDrain(std::function<void()> idle);
+
+  uint16_t port() const { return m_listener.port(); }
+  bool is_draining() const { return m_draining; }
+  AdmissionLoad load() const { return LoadOf(m_admission); }
+
+ private:
+  struct Call;
+
+  void OnRequest(std::unique_ptr<DownstreamRequest> request);
+  void OnOwnPath(std::unique_ptr<DownstreamRequest> request);
+  void IssueKey(std::unique_ptr<DownstreamRequest> request);
+  void Fence(std::unique_ptr<DownstreamRequest> request);
+  void Probe(std::unique_ptr<DownstreamRequest> request);
+
+  void OnOrder(std::unique_ptr<DownstreamRequest> request, const WorkTag& work);
+  bool Withdraw(uint64_t serial);
+  void RefuseDraining(std::unique_ptr<DownstreamRequest> request);
+
+  void Admit(std::unique_ptr<DownstreamRequest> request, const WorkTag& work, uint64_t serial);
+  void Apply(const AdmissionChanges& changes);
+  void Run(Call& call);
+  void Send(Call& call, std::chrono::milliseconds max_idle);
+  void Refuse(Call& call, int64_t retry_after_ms, std::string_view reason);
+  void OnHead(Call& call, const AnswerHead& head);
+  void OnData(Call& call, evbuffer* data);
+  void OnDone(Call& call, ExchangeEnd end);
+  void OnTimer(Call& call);
+  void OnDownstreamEnd(Call& call, bool written);
+  void FinishOrder(Call& call, ExchangeEnd end);
+  void AnswerNotRun(Call& call, std::string_view reason, int64_t retry_after_ms);
+  void AnswerUnknown(Call& call, int status);
+  void GiveUp(Call& call);
+  void RemoveIfEnded(Call& call);
+  void WatchQueue();
+  void CheckIdle();
+  void ReportLoad();
+  HeaderList NodeHeaders(std::string_view outcome, std::string_view request_id) const;
+
+  EventLoop& m_loop;
+  std::string m_name;
+  Metrics& m_metrics;
+  AdmissionPolicy m_admission;
+  KeyedOrders m_orders;
+  ConnectionPool m_pool;
+  HttpListener m_listener;
+  std::string m_ip;
+  uint16_t m_configured_port;
+  PendingReplies m_replies;
+  Timer m_queue_timer;
+  std::unordered_map<uint64_t, std::unique_ptr<Call>> m_calls;
+  std::map<std::string, Call*, std::less<>> m_by_request_id;
+  std::unordered_map<uint64_t, Call*> m_by_serial;
+  uint64_t m_next_id = 1;
+  bool m_draining = false;
+  std::function<void()> m_on_idle;
+  DeferredQueue m_deferred;
+};
+
+}  // namespace guavatrail
