--- a/src/admission.h
+++ b/src/admission.h
@@ -2,10 +2,10 @@
 // server now, which wait, and which are refused as not run. Pure: clock and events are handed in.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -49,7 +49,8 @@
 struct AdmissionLoad {
   int in_service = 0;
   int queued = 0;
-  // Typical service time of short work, of long work while no short work was seen; 0 if unknown.
+  // Typical service time in microseconds of short work, or of long work if too little short work
+  // was measured; 0 if too little of both was measured.
   int64_t service_us = 0;
 };
 
@@ -77,12 +78,8 @@
   int64_t PredictedDrainUs(int64_t now_us) const;
 
  private:
-  struct Rank {
-    int unimportance = 0;
-    int64_t deadline_us = 0;
-    uint64_t sequence = 0;
-    auto operator<=>(const Rank&) const = default;
-  };
+  // Negated importance, deadline, sequence number: the order of the queue.
+  using Rank = std::tuple<int, int64_t, uint64_t>;
   struct Running {
     bool is_short = true;
     int64_t start_us = 0;
