--- /dev/null
+++ b/test/support/serving_fixture.h
@@ -0,0 +1,106 @@
+// Defines ServingFixture, a serving node with a fake backend server, and helpers that build the
+// requests of an entry node.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fake_server.h"
+#include "serving_proxy.h"
+#include "test_loop.h"
+
+namespace guavatrail {
+
+class ServingFixture : public testing::Test {
+ protected:
+  static constexpr uint64_t kIncarnation = 1'700'000'000'000;
+
+  ServingFixture()
+      : m_server(m_loop, [this](FakeConnection& c, const std::string& request) {
+          m_running.push_back({&c, request});
+          if (m_answers_at_once) AnswerNext();
+        }) {}
+
+  Settings MakeSettings() const {
+    Settings settings;
+    settings.node.name = "encomendas-1";
+    settings.listen.ip = "127.0.0.1";
+    settings.server.ip = "127.0.0.1";
+    settings.server.port = m_server_port != 0 ? m_server_port : m_server.port();
+    settings.server.slots = m_slots;
+    settings.server.reserved_short_slots = 0;
+    return settings;
+  }
+
+  void Start(uint64_t incarnation = kIncarnation) {
+    m_proxy =
+        std::make_unique<ServingProxy>(m_loop, MakeSettings(), incarnation, m_metrics, m_random);
+    ASSERT_TRUE(m_proxy->Listen());
+  }
+
+  // Sends a request and returns its connection; does not wait.
+  std::unique_ptr<FakeClient> Send(const std::string& method, const std::string& path,
+                                   const std::string& headers = "", const std::string& body = "") {
+    auto client = std::make_unique<FakeClient>(m_loop, m_proxy->port());
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: a\r\n" + headers;
+    if (method == "POST") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    client->Send(text + "\r\n" + body);
+    return client;
+  }
+
+  // Sends a request and waits for its whole answer.
+  std::unique_ptr<FakeClient> Ask(const std::string& method, const std::string& path,
+                                  const std::string& headers = "") {
+    auto client = Send(method, path, headers);
+    EXPECT_TRUE(RunUntil(m_loop, [&] { return client->HasWholeAnswer(); }));
+    return client;
+  }
+
+  static std::string Lookup(const std::string& id, int deadline_ms = 5000) {
+    return "X-Guavatrail-Work: lookup;importance=1;short;repeatable\r\nX-Guavatrail-Request-Id: " +
+           id + "\r\nX-Guavatrail-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
+  }
+
+  static std::string Order(const std::string& key, int deadline_ms = 5000) {
+    return "X-Guavatrail-Work: order;importance=3;short;keyed\r\nIdempotency-Key: " + key +
+           "\r\nX-Guavatrail-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
+  }
+
+  std::string IssueKey() {
+    std::string key = Ask("POST", "/guavatrail/v1/order-key")->header("Idempotency-Key");
+    EXPECT_FALSE(key.empty());
+    return key;
+  }
+
+  bool WaitForRunning(size_t count) {
+    return RunUntil(m_loop, [&] { return m_running.size() >= count; });
+  }
+
+  // Answers the request that has run longest.
+  void AnswerNext(const std::string& body = "done") {
+    ASSERT_FALSE(m_running.empty());
+    FakeConnection* connection = m_running.front().connection;
+    m_running.erase(m_running.begin());
+    connection->Send(Answer(200, body));
+  }
+
+  struct Running {
+    FakeConnection* connection;
+    std::string request;
+  };
+
+  EventLoop m_loop;
+  Metrics m_metrics;
+  RandomSource m_random{1};
+  int m_slots = 9;
+  uint16_t m_server_port = 0;  // Instead of that of m_server.
+  bool m_answers_at_once = false;
+  std::vector<Running> m_running;  // Requests at the server that were not answered.
+  FakeServer m_server;
+  std::unique_ptr<ServingProxy> m_proxy;
+};
+
+}  // namespace guavatrail
