Add the entry proxy, its orders, peer calls and the server picker

Cause: callers reach any node, which must place their calls and say truthfully what became of them. Change: route match, deadlines, placement with the call policies, retries, hedges, keyed orders with fencing, and probes of silent connections. Conclusion: the whole call path can be joined.

--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -113,6 +113,8 @@
 
   size_t connections() const { return m_connections.size(); }
   size_t idle_connections() const { return m_idle.size(); }
+  // No connection is open and no request waits.
+  bool is_unused() const { return m_connections.empty() && m_closed.empty() && m_waiting.empty(); }
   uint64_t connections_opened() const { return m_opened; }
 
  private:
--- a/src/deadline.cc
+++ b/src/deadline.cc
@@ -19,7 +19,7 @@
   }
   int64_t value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
-  return std::min(value, kMaxDeadlineMs);
+  return std::min(value, kMaxRemainingMs);
 }
 
 std::string FormatDeadlineMs(int64_t deadline_us, int64_t now_us) {
--- a/src/deadline.h
+++ b/src/deadline.h
@@ -9,10 +9,10 @@
 namespace guavatrail {
 
 // The longest deadline that is accepted, in milliseconds (one day).
-inline constexpr int64_t kMaxDeadlineMs = 86'400'000;
+inline constexpr int64_t kMaxRemainingMs = 86'400'000;
 
 // Parses the remaining milliseconds of an X-Guavatrail-Deadline-Ms header: decimal digits only.
-// Values above kMaxDeadlineMs are cut to it; nullopt when the text is not a number.
+// Values above kMaxRemainingMs are cut to it; nullopt when the text is not a number.
 std::optional<int64_t> ParseDeadlineMs(std::string_view text);
 
 // The header value for the time from `now_us` to `deadline_us`; "0" when the deadline has passed.
--- /dev/null
+++ b/src/entry_call.h
@@ -0,0 +1,66 @@
+// Defines EntryCall, the state of one call at an entry node, for the sources of EntryProxy.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "downstream_request.h"
+#include "event_loop.h"
+#include "http_headers.h"
+#include "order_key.h"
+#include "peer_call.h"
+#include "stream_relay.h"
+#include "work_tag.h"
+
+namespace guavatrail {
+
+// Most servers that one call is sent to.
+inline constexpr int kMaxTries = 3;
+inline constexpr int64_t kUsualRetryAfterMs = 100;
+
+// One try of a call on one serving node.
+struct EntryTry {
+  std::string node;
+  int64_t start_us = 0;
+  bool is_refused = false;  // The node said that it did not run the request.
+  bool is_ended = false;
+  std::unique_ptr<PeerCall> peer;
+};
+
+struct EntryCall {
+  EntryCall(EventLoop& loop, std::unique_ptr<DownstreamRequest> request,
+            std::function<void()> deadline, std::function<void()> hedge)
+      : downstream(std::move(request)),
+        relay(*downstream),
+        deadline_timer(loop, std::move(deadline)),
+        hedge_timer(loop, std::move(hedge)) {}
+
+  uint64_t id = 0;
+  std::string request_id;
+  std::string service;
+  WorkTag work;
+  int64_t deadline_us = 0;
+  std::optional<OrderKey> key;
+  std::set<std::string> tried;
+  int tries_started = 0;
+  bool may_have_run = false;
+  bool is_answered = false;  // The answer has begun or been decided.
+  bool is_observed = false;
+  bool is_removed = false;
+  bool is_late = false;
+  int status = 0;  // Of the relayed answer.
+  int64_t retry_after_ms = kUsualRetryAfterMs;
+  std::unique_ptr<DownstreamRequest> downstream;
+  StreamRelay relay;
+  std::list<std::unique_ptr<EntryTry>> tries;
+  std::unique_ptr<PeerQuery> query;  // For a key or a fence.
+  Timer deadline_timer;
+  Timer hedge_timer;
+};
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/entry_proxy.cc
@@ -0,0 +1,409 @@
+#include "entry_proxy.h"
+
+#include <event2/buffer.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <array>
+#include <cinttypes>
+
+#include "deadline.h"
+#include "entry_call.h"
+
+namespace guavatrail {
+
+namespace {
+
+constexpr int64_t kUsPerMs = 1000;
+// The serving node answers at the deadline; its answer needs this time to arrive.
+constexpr int64_t kDeadlineGraceMs = 50;
+constexpr int64_t kNoTableRetryAfterMs = 1'000;
+// Requests that must not be repeated take connections used within this time; see ServingProxy.
+constexpr std::chrono::milliseconds kFreshIdle{1'000};
+constexpr std::chrono::milliseconds kUsualIdle{60'000};
+constexpr int kServerError = 500;
+
+bool IsSafeMethod(evhttp_cmd_type method) {
+  return method == EVHTTP_REQ_GET || method == EVHTTP_REQ_HEAD || method == EVHTTP_REQ_OPTIONS;
+}
+
+// A safe method of an order kind carries no order, but is not repeated either.
+RunMode ModeOf(const WorkKind& kind, evhttp_cmd_type method) {
+  if (kind.idempotent) return RunMode::kRepeatable;
+  bool is_keyed = kind.key == KeyMode::kRequired && !IsSafeMethod(method);
+  return is_keyed ? RunMode::kKeyed : RunMode::kOnce;
+}
+
+CallOutcome OutcomeOf(int status, bool is_late) {
+  if (status == kHttpServiceUnavailable || status == kHttpTooManyRequests) {
+    return CallOutcome::kRefused;
+  }
+  if (status >= kServerError) return CallOutcome::kUnknown;
+  return is_late ? CallOutcome::kLate : CallOutcome::kGood;
+}
+
+std::string HexPrefix(std::string_view node, uint64_t random) {
+  std::array<char, 20> hex{};
+  std::snprintf(hex.data(), hex.size(), "%016" PRIx64, random);
+  return std::string(node) + "-" + hex.data() + "-";
+}
+
+}  // namespace
+
+EntryProxy::EntryProxy(EventLoop& loop, const Settings& settings, MeshView view, Metrics& metrics,
+                       RandomSource& random, CallObserver observer)
+    : m_loop(loop),
+      m_name(settings.node.name),
+      m_ip(settings.listen.ip),
+      m_configured_port(static_cast<uint16_t>(settings.listen.caller_port)),
+      m_view(std::move(view)),
+      m_metrics(metrics),
+      m_observer(std::move(observer)),
+      m_picker(settings, random),
+      m_peers(loop, settings.listen.ip),
+      m_id_prefix(HexPrefix(settings.node.name, random.Next())),
+      m_listener(loop, [this](std::unique_ptr<DownstreamRequest> r) { OnRequest(std::move(r)); }),
+      m_replies(loop),
+      m_deferred(loop) {
+  m_replies.SetEmptyHandler([this] { CheckIdle(); });
+}
+
+EntryProxy::~EntryProxy() = default;
+
+tl::expected<void, ProxyError> EntryProxy::Listen() {
+  auto listening = m_listener.Listen(m_ip, m_configured_port);
+  if (!listening) return tl::make_unexpected(ProxyError{"caller port: " + listening.error()});
+  return {};
+}
+
+void EntryProxy::StartDrain(std::function<void()> idle) {
+  m_draining = true;
+  m_on_idle = std::move(idle);
+  m_deferred.Post([this] { CheckIdle(); });
+}
+
+void EntryProxy::CheckIdle() {
+  if (!m_draining || !m_calls.empty() || !m_replies.empty() || !m_on_idle) return;
+  std::function<void()> idle = std::move(m_on_idle);
+  m_on_idle = nullptr;
+  idle();
+}
+
+void EntryProxy::RefuseAtOnce(std::unique_ptr<DownstreamRequest> request, int status,
+                              std::string_view reason) {
+  HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}, {kReasonHeader, std::string(reason)}};
+  if (status == kHttpServiceUnavailable) SetRetryAfter(headers, kNoTableRetryAfterMs);
+  m_metrics.GetCounter("entry_refused_total", "reason=\"" + std::string(reason) + "\"").Add();
+  m_replies.Reply(std::move(request), status, headers);
+}
+
+void EntryProxy::OnRequest(std::unique_ptr<DownstreamRequest> request) {
+  if (m_draining) {
+    RefuseAtOnce(std::move(request), kHttpServiceUnavailable, kReasonDraining);
+    return;
+  }
+  std::shared_ptr<const ConfigTable> table = m_view.table();
+  if (table == nullptr) {
+    RefuseAtOnce(std::move(request), kHttpServiceUnavailable, "starting");
+    return;
+  }
+  // The nodes' own paths are for nodes only.
+  bool is_own_path = request->path().starts_with(kOwnPathPrefix);
+  const Route* route = is_own_path ? nullptr : table->MatchRoute(request->path());
+  const WorkKind* kind = route == nullptr ? nullptr : table->FindWorkKind(route->work);
+  if (kind == nullptr) {
+    RefuseAtOnce(std::move(request), kHttpNotFound, "no_route");
+    return;
+  }
+  int64_t deadline_ms = kind->deadline_ms;
+  if (const std::string* text = FindHeader(request->headers(), kDeadlineHeader); text != nullptr) {
+    std::optional<int64_t> remaining = ParseDeadlineMs(*text);
+    if (!remaining) {
+      RefuseAtOnce(std::move(request), kHttpBadRequest, "bad_deadline");
+      return;
+    }
+    deadline_ms = std::min(deadline_ms, *remaining);
+  }
+  int64_t deadline_us = request->arrival_us() + deadline_ms * kUsPerMs;
+  Begin(std::move(request), *route, *kind, deadline_us);
+}
+
+void EntryProxy::Begin(std::unique_ptr<DownstreamRequest> request, const Route& route,
+                       const WorkKind& kind, int64_t deadline_us) {
+  uint64_t id = m_next_id++;
+  RunMode mode = ModeOf(kind, request->method());
+  auto owned = std::make_unique<EntryCall>(
+      m_loop, std::move(request), [this, id] { OnDeadline(*m_calls.at(id)); },
+      [this, id] { Hedge(*m_calls.at(id)); });
+  EntryCall& call = *owned;
+  m_calls[id] = std::move(owned);
+  call.id = id;
+  call.request_id = m_id_prefix + std::to_string(id);
+  call.service = route.service;
+  call.work = {kind.name, kind.importance, kind.is_short, mode};
+  call.deadline_us = deadline_us;
+  call.downstream->SetEndHandler([this, &call](bool written) { OnDownstreamEnd(call, written); });
+  int64_t now_us = EventLoop::NowUs();
+  m_picker.Update(m_view.endpoints(), now_us);
+  m_picker.Called(call.service);
+  if (deadline_us <= now_us) {
+    AnswerNotRun(call, kUsualRetryAfterMs);
+    return;
+  }
+  call.deadline_timer.Start(
+      std::chrono::microseconds(deadline_us - now_us + kDeadlineGraceMs * kUsPerMs));
+  if (mode == RunMode::kKeyed) {
+    BeginKeyed(call);
+  } else {
+    StartNext(call);
+  }
+}
+
+// Places the call on a server that it has not been tried on.
+void EntryProxy::StartNext(EntryCall& call) {
+  bool is_repeatable = call.work.mode == RunMode::kRepeatable;
+  const Endpoint* server = m_picker.Pick(call.service, call.tried,
+                                         is_repeatable && call.tried.empty(), EventLoop::NowUs());
+  if (StartTry(call, server)) {
+    PlanHedge(call);
+  } else {
+    AnswerFailed(call, kHttpBadGateway);
+  }
+}
+
+bool EntryProxy::StartTry(EntryCall& call, const Endpoint* server) {
+  if (server == nullptr) return false;
+  ++call.tries_started;
+  call.tried.insert(server->node);
+  auto owned = std::make_unique<EntryTry>();
+  EntryTry& t = *owned;
+  t.node = server->node;
+  t.start_us = EventLoop::NowUs();
+  call.tries.push_back(std::move(owned));
+  m_picker.Sent(t.node, t.start_us);
+  std::string try_id = call.request_id + "." + std::to_string(call.tries_started);
+  UpstreamRequest request = RequestFor(call, *server);
+  SetHeader(request.headers, kRequestIdHeader, try_id);
+  t.peer = std::make_unique<PeerCall>(
+      m_loop, m_peers.PoolOf(*server), std::move(request), try_id,
+      PeerCall::Handlers{.head = [this, &call, &t](const AnswerHead& h) { OnHead(call, t, h); },
+                         .data =
+                             [&call, &t](evbuffer* data) {
+                               if (t.is_refused) {
+                                 evbuffer_drain(data, evbuffer_get_length(data));
+                               } else {
+                                 call.relay.Data(data);
+                               }
+                             },
+                         .done = [this, &call, &t](ExchangeEnd e) { OnDone(call, t, e); }});
+  return true;
+}
+
+UpstreamRequest EntryProxy::RequestFor(const EntryCall& call, const Endpoint& server) const {
+  HeaderList headers = call.downstream->headers();
+  RemoveNodeHeaders(headers);
+  SetHeader(headers, kDeadlineHeader, FormatDeadlineMs(call.deadline_us, EventLoop::NowUs()));
+  SetHeader(headers, kWorkHeader, FormatWorkTag(call.work));
+  uint64_t incarnation = call.key ? call.key->incarnation : server.incarnation;
+  SetHeader(headers, kIncarnationHeader, std::to_string(incarnation));
+  return {.method = call.downstream->method(),
+          .uri = call.downstream->target(),
+          .headers = std::move(headers),
+          .body = call.downstream->body(),
+          .max_idle = call.work.mode == RunMode::kRepeatable ? kUsualIdle : kFreshIdle};
+}
+
+void EntryProxy::PlanHedge(EntryCall& call) {
+  if (call.work.mode != RunMode::kRepeatable || call.tries_started > 1) return;
+  std::optional<int64_t> delay_us =
+      m_picker.HedgeDelayUs(call.service, call.work.name, EventLoop::NowUs());
+  if (delay_us) call.hedge_timer.Start(std::chrono::microseconds(*delay_us));
+}
+
+void EntryProxy::Hedge(EntryCall& call) {
+  if (call.is_answered || call.tries_started != 1) return;
+  int64_t now_us = EventLoop::NowUs();
+  const Endpoint* server = m_picker.Pick(call.service, call.tried, false, now_us);
+  if (server == nullptr || !m_picker.TakeHedge(call.service, now_us)) return;
+  m_metrics.GetCounter("hedges_total", "kind=\"" + call.work.name + "\"").Add();
+  StartTry(call, server);
+}
+
+void EntryProxy::OnHead(EntryCall& call, EntryTry& t, const AnswerHead& head) {
+  int64_t now_us = EventLoop::NowUs();
+  m_picker.Reported(call.service, t.node, head.headers, now_us);
+  t.is_refused = HasOutcome(head.headers, kOutcomeNotRun) || call.is_answered;
+  if (t.is_refused) {
+    int64_t retry_after_ms = NumberIn(head.headers, kRetryAfterMsHeader);
+    if (retry_after_ms > 0) call.retry_after_ms = retry_after_ms;
+    call.status = head.status;
+    // A node that is not draining may issue another key.
+    const std::string* reason = FindHeader(head.headers, kReasonHeader);
+    bool is_draining = reason != nullptr && *reason == kReasonDraining;
+    if (call.work.mode == RunMode::kKeyed && !is_draining) call.tried.erase(t.node);
+    return;
+  }
+  call.is_answered = true;
+  call.status = head.status;
+  call.is_late = now_us > call.deadline_us;
+  call.deadline_timer.Cancel();
+  call.hedge_timer.Cancel();
+  EndOtherTries(call, &t);
+  int64_t server_us = NumberIn(head.headers, kServerTimeHeader);
+  if (HasOutcome(head.headers, kOutcomeAnswered) && server_us > 0) {
+    m_picker.Answered(call.service, call.work.name, t.node, server_us, now_us - t.start_us, now_us);
+    int64_t waited_us = server_us + NumberIn(head.headers, kQueueTimeHeader);
+    m_metrics.GetHistogram("call_added_us", "kind=\"" + call.work.name + "\"")
+        .Record(now_us - call.downstream->arrival_us() - waited_us);
+  }
+  call.relay.Begin(t.peer->exchange(), head, head.headers);
+}
+
+void EntryProxy::EndTry(EntryCall& call, EntryTry& t) {
+  t.is_ended = true;
+  m_picker.Ended(t.node);
+  // The try may be in one of its own handlers.
+  m_deferred.Post([this, id = call.id, raw = &t] {
+    auto it = m_calls.find(id);
+    if (it == m_calls.end()) return;
+    std::erase_if(it->second->tries, [raw](const auto& entry) { return entry.get() == raw; });
+  });
+}
+
+void EntryProxy::EndOtherTries(EntryCall& call, const EntryTry* winner) {
+  for (auto& t : call.tries) {
+    if (t.get() == winner || t->is_ended) continue;
+    call.may_have_run = call.may_have_run || t->peer->may_have_left();
+    t->peer.reset();
+    EndTry(call, *t);
+  }
+}
+
+void EntryProxy::OnDone(EntryCall& call, EntryTry& t, ExchangeEnd end) {
+  bool was_relayed = !t.is_refused && call.relay.has_begun();
+  if (t.peer->was_silent()) m_metrics.GetCounter("silent_connections_total").Add();
+  EndTry(call, t);
+  if (end != ExchangeEnd::kComplete) m_picker.Failed(call.service, t.node, EventLoop::NowUs());
+  if (was_relayed) {
+    bool whole = end == ExchangeEnd::kComplete;
+    Observe(call, whole ? OutcomeOf(call.status, call.is_late) : CallOutcome::kIncomplete);
+    call.relay.End(end);
+    return;
+  }
+  if (call.is_answered) return;
+  if (t.is_refused) {
+    OnRefused(call);
+    return;
+  }
+  call.may_have_run = call.may_have_run || end == ExchangeEnd::kBroken;
+  if (call.work.mode == RunMode::kKeyed) {
+    FenceOrder(call);
+    return;
+  }
+  Retry(call);
+}
+
+// Sends the call to another server, where that cannot make it run twice.
+void EntryProxy::Retry(EntryCall& call) {
+  bool is_other_running = std::any_of(call.tries.begin(), call.tries.end(),
+                                      [](const auto& other) { return !other->is_ended; });
+  if (is_other_running) return;
+  bool is_safe = call.work.mode == RunMode::kRepeatable || !call.may_have_run;
+  if (is_safe && call.tries_started < kMaxTries && m_picker.TakeRetry(call.service)) {
+    m_metrics.GetCounter("retries_total", "kind=\"" + call.work.name + "\"").Add();
+    StartNext(call);
+  } else {
+    AnswerFailed(call, kHttpBadGateway);
+  }
+}
+
+// A serving node did not run the request, and for a keyed order never will.
+void EntryProxy::OnRefused(EntryCall& call) {
+  if (call.work.mode == RunMode::kKeyed) {
+    if (call.status == kHttpPreconditionRequired) {
+      FetchKey(call);
+    } else {
+      AnswerNotRun(call, call.retry_after_ms);
+    }
+    return;
+  }
+  Retry(call);
+}
+
+// The serving node has not answered in time, so it is hung or cannot be reached.
+void EntryProxy::OnDeadline(EntryCall& call) {
+  if (call.is_answered) return;
+  bool was_sent = !call.tries.empty();
+  EndOtherTries(call, nullptr);
+  if (call.work.mode == RunMode::kKeyed && was_sent) {
+    FenceOrder(call);
+  } else {
+    AnswerFailed(call, kHttpGatewayTimeout);
+  }
+}
+
+// Gives up a call that is not a keyed order.
+void EntryProxy::AnswerFailed(EntryCall& call, int status) {
+  if (call.may_have_run) {
+    AnswerUnknown(call, status);
+  } else {
+    AnswerNotRun(call, call.retry_after_ms);
+  }
+}
+
+void EntryProxy::AnswerNotRun(EntryCall& call, int64_t retry_after_ms) {
+  HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}};
+  SetRetryAfter(headers, retry_after_ms);
+  Answer(call, kHttpServiceUnavailable, std::move(headers), CallOutcome::kRefused);
+}
+
+void EntryProxy::AnswerUnknown(EntryCall& call, int status) {
+  Answer(call, status, {{kOutcomeHeader, kOutcomeUnknown}}, CallOutcome::kUnknown);
+}
+
+void EntryProxy::Answer(EntryCall& call, int status, HeaderList headers, CallOutcome outcome) {
+  if (call.is_answered) return;
+  call.is_answered = true;
+  call.deadline_timer.Cancel();
+  call.hedge_timer.Cancel();
+  EndOtherTries(call, nullptr);
+  SetHeader(headers, kRequestIdHeader, call.request_id);
+  call.downstream->Reply(status, headers, "");
+  Observe(call, outcome);
+}
+
+void EntryProxy::Observe(EntryCall& call, CallOutcome outcome) {
+  if (call.is_observed) return;
+  call.is_observed = true;
+  std::string labels = "service=\"" + call.service + "\",kind=\"" + call.work.name +
+                       "\",outcome=\"" + std::string(ToString(outcome)) + "\"";
+  m_metrics.GetCounter("calls_total", labels).Add();
+  if (!m_observer) return;
+  m_observer({.service = call.service,
+              .kind = call.work.name,
+              .outcome = outcome,
+              .latency_us = EventLoop::NowUs() - call.downstream->arrival_us(),
+              .body_bytes = call.relay.body_bytes()});
+}
+
+void EntryProxy::OnDownstreamEnd(EntryCall& call, bool written) {
+  // A caller that has left cancels the work; a keyed order runs on at its serving node.
+  if (!written) call.is_observed = true;
+  call.is_answered = true;
+  EndOtherTries(call, nullptr);
+  Remove(call);
+}
+
+void EntryProxy::Remove(EntryCall& call) {
+  if (call.is_removed) return;
+  call.is_removed = true;
+  call.deadline_timer.Cancel();
+  call.hedge_timer.Cancel();
+  // The call may be in one of its own callbacks.
+  m_deferred.Post([this, id = call.id] {
+    m_calls.erase(id);
+    CheckIdle();
+  });
+}
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/entry_proxy.h
@@ -0,0 +1,114 @@
+// Defines EntryProxy, the caller port of a node: it matches a request with its route, places it on
+// a serving node, and relays the answer or says what became of the request.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+#include <unordered_map>
+
+#include "burn.h"
+#include "downstream_request.h"
+#include "event_loop.h"
+#include "mesh_view.h"
+#include "metrics.h"
+#include "peer_client.h"
+#include "proxy_error.h"
+#include "random_source.h"
+#include "server_picker.h"
+#include "settings.h"
+
+namespace guavatrail {
+
+// One call that has ended. Calls whose caller left are not reported, nor are requests that only
+// fetch a key for an order.
+struct CallRecord {
+  std::string_view service;
+  std::string_view kind;
+  CallOutcome outcome = CallOutcome::kGood;
+  int64_t latency_us = 0;   // From the arrival to the end of the answer.
+  uint64_t body_bytes = 0;  // Of the answer.
+};
+using CallObserver = std::function<void(const CallRecord&)>;
+
+struct EntryCall;
+struct EntryTry;
+
+class EntryProxy {
+ public:
+  EntryProxy(EventLoop& loop, const Settings& settings, MeshView view, Metrics& metrics,
+             RandomSource& random, CallObserver observer);
+  ~EntryProxy();
+  EntryProxy(const EntryProxy&) = delete;
+  EntryProxy& operator=(const EntryProxy&) = delete;
+
+  // Opens the caller port. The error says which port and why.
+  tl::expected<void, ProxyError> Listen();
+  // Refuses new requests as not run from now on, and calls `idle` once when all others have been
+  // answered whole. To be called after the serving proxy is idle: what runs on the backend server
+  // may need calls through this port to finish.
+  void StartDrain(std::function<void()> idle);
+
+  uint16_t port() const { return m_listener.port(); }
+
+ private:
+  // From the caller.
+  void OnRequest(std::unique_ptr<DownstreamRequest> request);
+  void RefuseAtOnce(std::unique_ptr<DownstreamRequest> request, int status,
+                    std::string_view reason);
+  void Begin(std::unique_ptr<DownstreamRequest> request, const Route& route, const WorkKind& kind,
+             int64_t deadline_us);
+  void OnDownstreamEnd(EntryCall& call, bool written);
+  void OnDeadline(EntryCall& call);
+
+  // Tries on serving nodes.
+  bool StartTry(EntryCall& call, const Endpoint* server);
+  void StartNext(EntryCall& call);
+  void Hedge(EntryCall& call);
+  void PlanHedge(EntryCall& call);
+  UpstreamRequest RequestFor(const EntryCall& call, const Endpoint& server) const;
+  void OnHead(EntryCall& call, EntryTry& t, const AnswerHead& head);
+  void OnDone(EntryCall& call, EntryTry& t, ExchangeEnd end);
+  void OnRefused(EntryCall& call);
+  void Retry(EntryCall& call);
+  void EndTry(EntryCall& call, EntryTry& t);
+  void EndOtherTries(EntryCall& call, const EntryTry* winner);
+
+  // Keyed orders.
+  void BeginKeyed(EntryCall& call);
+  void FetchKey(EntryCall& call);
+  void OnKeyReply(EntryCall& call, const std::string& node, const std::optional<PeerReply>& reply);
+  void FenceOrder(EntryCall& call);
+  void OnFenceReply(EntryCall& call, const std::optional<PeerReply>& reply);
+
+  // Final answers without one of the server.
+  void AnswerNotRun(EntryCall& call, int64_t retry_after_ms);
+  void AnswerUnknown(EntryCall& call, int status);
+  void AnswerFailed(EntryCall& call, int status);
+  void Answer(EntryCall& call, int status, HeaderList headers, CallOutcome outcome);
+  void Observe(EntryCall& call, CallOutcome outcome);
+  void Remove(EntryCall& call);
+  void CheckIdle();
+
+  EventLoop& m_loop;
+  std::string m_name;
+  std::string m_ip;
+  uint16_t m_configured_port;
+  MeshView m_view;
+  Metrics& m_metrics;
+  CallObserver m_observer;
+  ServerPicker m_picker;
+  PeerClient m_peers;
+  std::string m_id_prefix;  // Distinguishes request ids of this process from all others.
+  uint64_t m_next_id = 1;
+  HttpListener m_listener;
+  PendingReplies m_replies;
+  std::unordered_map<uint64_t, std::unique_ptr<EntryCall>> m_calls;
+  bool m_draining = false;
+  std::function<void()> m_on_idle;
+  DeferredQueue m_deferred;
+};
+
+}  // namespace guavatrail
--- a/src/http_headers.cc
+++ b/src/http_headers.cc
@@ -71,6 +71,15 @@
   return nullptr;
 }
 
+int64_t NumberIn(const HeaderList& headers, std::string_view name) {
+  const std::string* text = FindHeader(headers, name);
+  if (text == nullptr) return 0;
+  int64_t value = 0;
+  auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
+  bool is_number = error == std::errc() && end == text->data() + text->size();
+  return is_number ? std::max<int64_t>(0, value) : 0;
+}
+
 void RemoveHeader(HeaderList& headers, std::string_view name) {
   std::erase_if(headers, [&](const auto& header) { return EqualNames(header.first, name); });
 }
@@ -80,6 +89,11 @@
   headers.emplace_back(name, value);
 }
 
+bool HasOutcome(const HeaderList& headers, std::string_view outcome) {
+  const std::string* text = FindHeader(headers, kOutcomeHeader);
+  return text != nullptr && *text == outcome;
+}
+
 void SetRetryAfter(HeaderList& headers, int64_t retry_after_ms) {
   constexpr int64_t kMsPerSecond = 1000;
   int64_t seconds = (retry_after_ms + kMsPerSecond - 1) / kMsPerSecond;
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -25,6 +25,8 @@
 inline constexpr char kReasonHeader[] = "X-Guavatrail-Reason";
 // Microseconds that the backend server took until the head of its answer.
 inline constexpr char kServerTimeHeader[] = "X-Guavatrail-Server-Us";
+// Microseconds that a request waited for a slot at the serving node.
+inline constexpr char kQueueTimeHeader[] = "X-Guavatrail-Queue-Us";
 // Status of a finished order whose answer is not kept.
 inline constexpr char kOrderStatusHeader[] = "X-Guavatrail-Order-Status";
 // Like Retry-After, in milliseconds.
@@ -69,9 +71,13 @@
 
 // Header names are compared without regard to case. Null when absent.
 const std::string* FindHeader(const HeaderList& headers, std::string_view name);
+// The value of a header with a non-negative number; 0 when it is absent or something else.
+int64_t NumberIn(const HeaderList& headers, std::string_view name);
 void RemoveHeader(HeaderList& headers, std::string_view name);
 void SetHeader(HeaderList& headers, std::string_view name, std::string_view value);
 
+// Whether X-Guavatrail-Outcome says `outcome`.
+bool HasOutcome(const HeaderList& headers, std::string_view outcome);
 // Adds Retry-After, in whole seconds and at least 1, and its value in milliseconds.
 void SetRetryAfter(HeaderList& headers, int64_t retry_after_ms);
 
--- /dev/null
+++ b/src/server_picker.cc
@@ -0,0 +1,147 @@
+#include "server_picker.h"
+
+#include <vector>
+
+namespace guavatrail {
+
+namespace {
+
+constexpr int64_t kDrainAvoidMs = 5'000;
+
+bool IsUsable(const Endpoint& endpoint, MemberState state, const std::set<std::string>& excluded) {
+  return endpoint.state == state && !endpoint.draining && !excluded.contains(endpoint.node);
+}
+
+}  // namespace
+
+ServerPicker::ServerPicker(const Settings& settings, RandomSource& random)
+    : m_placement_name(settings.calls.placement),
+      m_local_data_centre(settings.node.data_centre),
+      m_retry_share(settings.calls.retry_budget),
+      m_hedge_share(settings.calls.hedge_budget),
+      m_random(random),
+      m_endpoints(std::make_shared<const EndpointList>()) {}
+
+ServerPicker::Service& ServerPicker::ServiceOf(std::string_view name) {
+  auto it = m_services.find(name);
+  if (it != m_services.end()) return it->second;
+  PlacementPolicy placement = RoundRobin{};
+  if (m_placement_name != "round_robin") {
+    placement = TwoChoices({.local_data_centre = m_local_data_centre});
+  }
+  HedgePolicy hedges = NoHedge{};
+  if (m_hedge_share > 0) hedges = PercentileHedge({.share = m_hedge_share});
+  Service service{std::move(placement), OutlierDetector{},
+                  TokenRetryBudget({.share = m_retry_share}), std::move(hedges)};
+  return m_services.emplace(std::string(name), std::move(service)).first->second;
+}
+
+void ServerPicker::Update(std::shared_ptr<const EndpointList> endpoints, int64_t now_us) {
+  if (endpoints == m_endpoints) return;
+  std::map<std::string_view, std::vector<std::string_view>> by_service;
+  for (const Endpoint& endpoint : endpoints->all()) {
+    const Endpoint* before = m_endpoints->FindNode(endpoint.node);
+    if (before != nullptr && before->incarnation != endpoint.incarnation) {
+      m_tracker.Forget(endpoint.node);
+    }
+    m_tracker.Seen(endpoint.node, now_us);
+    by_service[endpoint.service].push_back(endpoint.node);
+  }
+  for (const Endpoint& before : m_endpoints->all()) {
+    if (endpoints->FindNode(before.node) == nullptr) m_tracker.Forget(before.node);
+  }
+  for (auto& [name, nodes] : by_service) SetServers(ServiceOf(name).outliers, nodes);
+  m_endpoints = std::move(endpoints);
+}
+
+const Endpoint* ServerPicker::Pick(std::string_view service, const std::set<std::string>& excluded,
+                                   bool may_probe, int64_t now_us) {
+  Service& state = ServiceOf(service);
+  std::vector<PlacementCandidate> candidates;
+  std::vector<const Endpoint*> servers;
+  // Suspected servers are used only when there is no other: a suspicion may be false.
+  for (MemberState member_state : {MemberState::kAlive, MemberState::kSuspect}) {
+    for (size_t index : m_endpoints->OfService(service)) {
+      const Endpoint& endpoint = m_endpoints->all()[index];
+      if (!IsUsable(endpoint, member_state, excluded)) continue;
+      ServerStanding standing = StandingOf(state.outliers, endpoint.node, now_us);
+      if (standing == ServerStanding::kProbe && may_probe) {
+        ProbeSent(state.outliers, endpoint.node, now_us);
+        return &endpoint;
+      }
+      PlacementCandidate candidate{
+          .node = endpoint.node, .data_centre = endpoint.data_centre, .slots = endpoint.slots};
+      m_tracker.Fill(candidate, now_us);
+      candidate.avoid = candidate.avoid || standing != ServerStanding::kInUse;
+      candidates.push_back(candidate);
+      servers.push_back(&endpoint);
+    }
+    if (!candidates.empty()) break;
+  }
+  std::optional<size_t> chosen = Choose(state.placement, candidates, m_random);
+  return chosen ? servers[*chosen] : nullptr;
+}
+
+void ServerPicker::Called(std::string_view service) {
+  Service& state = ServiceOf(service);
+  guavatrail::Called(state.retries);
+  guavatrail::Called(state.hedges);
+}
+
+void ServerPicker::Sent(std::string_view node, int64_t now_us) { m_tracker.Sent(node, now_us); }
+
+void ServerPicker::Ended(std::string_view node) { m_tracker.Ended(node); }
+
+void ServerPicker::Reported(std::string_view service, std::string_view node,
+                            const HeaderList& headers, int64_t now_us) {
+  const std::string* text = FindHeader(headers, kLoadHeader);
+  std::optional<ServerLoad> load = text == nullptr ? std::nullopt : ParseLoad(*text);
+  if (load) m_tracker.Reported(node, *load, now_us);
+  const std::string* outcome = FindHeader(headers, kOutcomeHeader);
+  if (outcome == nullptr || *outcome != kOutcomeNotRun) return;
+  const std::string* reason = FindHeader(headers, kReasonHeader);
+  if (reason != nullptr && *reason == kReasonDraining) {
+    // A refusal may be known before the membership news that the node is leaving.
+    m_tracker.Refused(node, kDrainAvoidMs, now_us);
+    return;
+  }
+  int64_t retry_after_ms = NumberIn(headers, kRetryAfterMsHeader);
+  if (retry_after_ms <= 0) return;
+  m_tracker.Refused(node, retry_after_ms, now_us);
+  Refused(ServiceOf(service).hedges, now_us);
+}
+
+void ServerPicker::Answered(std::string_view service, std::string_view kind, std::string_view node,
+                            int64_t service_us, int64_t latency_us, int64_t now_us) {
+  Service& state = ServiceOf(service);
+  guavatrail::Answered(state.outliers, {.node = node, .kind = kind, .service_us = service_us},
+                       now_us);
+  guavatrail::Answered(state.hedges, kind, latency_us, now_us);
+}
+
+void ServerPicker::Failed(std::string_view service, std::string_view node, int64_t now_us) {
+  guavatrail::Failed(ServiceOf(service).outliers, node, now_us);
+}
+
+bool ServerPicker::TakeRetry(std::string_view service) {
+  Service& state = ServiceOf(service);
+  if (!MayRetry(state.retries)) return false;
+  Retried(state.retries);
+  return true;
+}
+
+std::optional<int64_t> ServerPicker::HedgeDelayUs(std::string_view service, std::string_view kind,
+                                                  int64_t now_us) const {
+  auto it = m_services.find(service);
+  if (it == m_services.end()) return std::nullopt;
+  return guavatrail::HedgeDelayUs(it->second.hedges, kind, now_us);
+}
+
+bool ServerPicker::TakeHedge(std::string_view service, int64_t now_us) {
+  Service& state = ServiceOf(service);
+  if (!MayHedge(state.hedges, IsSpilling(state.placement), now_us)) return false;
+  Hedged(state.hedges);
+  return true;
+}
+
+}  // namespace guavatrail
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -84,7 +84,7 @@
   bool is_given_up = false;  // The sender was told that the outcome is unknown.
   bool is_second_try = false;
   bool may_have_left = false;  // An earlier try may have reached the server.
-  StoredAnswer answer;  // Of keyed orders.
+  StoredAnswer answer;         // Of keyed orders.
   bool is_storable = true;
   std::unique_ptr<DownstreamRequest> downstream;
   StreamRelay relay;
@@ -336,6 +336,8 @@
     SetHeader(headers, name, value);
   }
   SetHeader(headers, kServerTimeHeader, std::to_string(server_us));
+  SetHeader(headers, kQueueTimeHeader,
+            std::to_string(call.start_us - call.downstream->arrival_us()));
   call.relay.Begin(*call.exchange, head, headers);
 }
 
--- a/test/error/deadline_refuses_other_text_test.cc
+++ b/test/error/deadline_refuses_other_text_test.cc
@@ -9,7 +9,7 @@
 TEST(DeadlineRefusesOtherText, ReadsMilliseconds) {
   EXPECT_EQ(ParseDeadlineMs("250"), 250);
   EXPECT_EQ(ParseDeadlineMs("0"), 0);
-  EXPECT_EQ(ParseDeadlineMs("999999999999"), kMaxDeadlineMs);
+  EXPECT_EQ(ParseDeadlineMs("999999999999"), kMaxRemainingMs);
 }
 
 TEST(DeadlineRefusesOtherText, RefusesWhatIsNotANumber) {
