--- a/test/correctness/extra_requests_stay_in_budget_test.cc
+++ b/test/correctness/extra_requests_stay_in_budget_test.cc
@@ -30,7 +30,7 @@
 int HedgesOf(HedgePolicy& policy, int calls, bool is_overloaded) {
   int hedges = 0;
   for (int i = 0; i < calls; ++i) {
-    int64_t now_us = i * 1000;
+    int64_t now_us = i * int64_t{1000};
     int64_t latency_us = i % 10 == 0 ? 100'000 : 5'000;
     Called(policy);
     std::optional<int64_t> delay_us = HedgeDelayUs(policy, "lookup", now_us);
@@ -65,7 +65,8 @@
   EXPECT_FALSE(HedgeDelayUs(policy, "lookup", 0).has_value());
   RandomSource random(5);
   for (int i = 0; i < 5000; ++i) {
-    Answered(policy, "lookup", 1000 + static_cast<int64_t>(random.Below(100'000)), i * 1000);
+    Answered(policy, "lookup", 1000 + static_cast<int64_t>(random.Below(100'000)),
+             i * int64_t{1000});
   }
   auto delay_us = HedgeDelayUs(policy, "lookup", 5 * kSecond);
   ASSERT_TRUE(delay_us.has_value());
--- a/test/performance/decisions_are_fast_test.cc
+++ b/test/performance/decisions_are_fast_test.cc
@@ -15,6 +15,12 @@
 // Several times the figures of an idle machine, so that a busy one does not fail the test.
 constexpr double kLimitNs = 50'000;
 
+std::vector<std::string> ServerNames() {
+  std::vector<std::string> names(25);
+  for (size_t i = 0; i < names.size(); ++i) names[i] = "server-" + std::to_string(i);
+  return names;
+}
+
 template <typename Decision>
 void Measure(const char* name, int times, Decision&& decision) {
   auto start = std::chrono::steady_clock::now();
@@ -47,8 +53,7 @@
 }
 
 TEST(DecisionsAreFast, PlacementAmong25Servers) {
-  std::vector<std::string> names;
-  for (int i = 0; i < 25; ++i) names.push_back("server-" + std::to_string(i));
+  std::vector<std::string> names = ServerNames();
   RandomSource random(1);
   for (PlacementPolicy policy :
        {PlacementPolicy(TwoChoices({.local_data_centre = "dc0"})), PlacementPolicy(RoundRobin())}) {
@@ -70,21 +75,20 @@
 }
 
 TEST(DecisionsAreFast, OutlierDetectionAmong25Servers) {
-  std::vector<std::string> names;
-  for (int i = 0; i < 25; ++i) names.push_back("server-" + std::to_string(i));
+  std::vector<std::string> names = ServerNames();
   std::vector<std::string_view> views(names.begin(), names.end());
   OutlierPolicy policy;
   SetServers(policy, views);
   Measure("outlier_answer", 200'000, [&](int i) {
     const auto& name = names[static_cast<size_t>(i) % names.size()];
-    Answered(policy, {name, "lookup", 5'000 + i % 7, 5'000}, i * 100);
+    Answered(policy, {name, "lookup", 5'000 + i % 7, 5'000}, i * int64_t{100});
   });
 }
 
 TEST(DecisionsAreFast, BurnRecord) {
   BurnRecorder recorder;
   Measure("burn_record", 500'000, [&](int i) {
-    recorder.Record("catalogo", "lookup", CallOutcome::kGood, 5'000 + i % 1000, i * 100L);
+    recorder.Record("catalogo", "lookup", CallOutcome::kGood, 5'000 + i % 1000, i * int64_t{100});
   });
 }
 
