--- a/src/settings.h
+++ b/src/settings.h
@@ -18,6 +18,9 @@
 
 struct ListenSettings {
   std::string ip;
+  // Address told to other nodes; empty: ip. Differs when the VM is reached through a translated
+  // address. Outgoing connections to other nodes start from `ip`.
+  std::string advertise_ip;
   int64_t caller_port = 0;
   int64_t peer_port = 0;
   int64_t control_port = 0;
@@ -85,6 +88,11 @@
   LogSettings log;
 };
 
+// The address that other nodes use to reach this one.
+inline const std::string& AdvertisedIp(const Settings& settings) {
+  return settings.listen.advertise_ip.empty() ? settings.listen.ip : settings.listen.advertise_ip;
+}
+
 // Names the file, line and key of a wrong setting, what was found and what is allowed.
 struct SettingsError {
   std::string message;
