Let the platform stand-in lose or delay writes to chosen keys

Cause: losing all answers also loses those of the note object, so that the lost answer of the head update, the one that decides the order, was never reached.

--- a/test/scenarios/steps.py
+++ b/test/scenarios/steps.py
@@ -215,7 +215,7 @@
                 if words[arrow] == "<->":
                     self.fleet.forward(f"{command} {b.name} {a.name}")
 
-    def do_platform(self, words, _, __):
+    def do_platform(self, words, options, _):
         state, value = words[0], (words[1:] or [None])[0]
         timed = {"slow": "slow_ms", "stale": "stale_ms", "delay-writes": "delay_writes_ms"}
         outages = {"down": "refuse", "closes": "close", "hang": "hang"}
@@ -229,6 +229,8 @@
             faults = {}
         else:
             raise StepFailed(f"unknown platform state {state!r}")
+        if "writes" in options:
+            faults["write_prefix"] = options["writes"]
         self.fleet.platform_faults(**faults)
 
     # Configuration
--- a/test/standins/platform_stub.cc
+++ b/test/standins/platform_stub.cc
@@ -31,6 +31,7 @@
   int64_t stale_ms = 0;            // Reads return the value as it was that long ago.
   int64_t lose_write_answers = 0;  // That many writes take effect and get no answer; -1: all.
   int64_t delay_writes_ms = 0;     // Writes get no answer and take effect that much later.
+  std::string write_prefix;        // Keys whose writes are lost or delayed; empty: all.
   double read_rate = 2000;         // Calls a second.
   double write_rate = 400;
 };
@@ -171,6 +172,7 @@
     faults.stale_ms = json.value("stale_ms", faults.stale_ms);
     faults.lose_write_answers = json.value("lose_write_answers", faults.lose_write_answers);
     faults.delay_writes_ms = json.value("delay_writes_ms", faults.delay_writes_ms);
+    faults.write_prefix = json.value("write_prefix", faults.write_prefix);
     faults.read_rate = json.value("read_rate", faults.read_rate);
     faults.write_rate = json.value("write_rate", faults.write_rate);
     m_faults = faults;
@@ -212,6 +214,9 @@
     Write write{exchange->method(), exchange->path().substr(kObjects.size()), exchange->body(),
                 exchange->Header("If-Match"), exchange->Header("If-None-Match")};
     auto abort = [exchange] { exchange->Abort(); };
+    if (write.key.compare(0, m_faults.write_prefix.size(), m_faults.write_prefix) != 0) {
+      return Send(exchange, Apply(write));
+    }
     if (m_faults.delay_writes_ms > 0) {
       Count("delayed_writes");
       After(m_loop, microseconds(0), abort);
