Join control plane, proxies and admin port to the node

Cause: the parts were tested alone; the whole path needs one process. Change: Node and guavatraild; a stop drains the serving side, then the entry side, then leaves.

--- a/apps/guavatraild.cc
+++ b/apps/guavatraild.cc
@@ -64,8 +64,8 @@
   guavatrail::Node node(loop, settings);
   auto started = node.Start();
   if (!started) {
-    LOG(ERROR) << "event=start_failed node=" << settings.node.name
-               << " error=\"" << started.error().message << "\"";
+    LOG(ERROR) << "event=start_failed node=" << settings.node.name << " error=\""
+               << started.error().message << "\"";
     return kExitRefused;
   }
   loop.OnSignal(SIGTERM, [&node] { node.Stop(); });
--- /dev/null
+++ b/src/node.cc
@@ -0,0 +1,200 @@
+#include "node.h"
+
+#include <glog/logging.h>
+
+#include <random>
+
+#include "admin_server.h"
+#include "burn.h"
+#include "control_plane.h"
+#include "entry_proxy.h"
+#include "metrics.h"
+#include "platform_client.h"
+#include "random_source.h"
+#include "serving_proxy.h"
+
+namespace guavatrail {
+
+namespace {
+
+// Entry nodes that have not heard of the drain learn it from refusals, so the node keeps refusing
+// for as long as the news may take before it closes its ports.
+constexpr std::chrono::milliseconds kDrainNotice{1000};
+
+PlatformClient::Options PlatformOptions(const Settings& settings) {
+  return {settings.platform.ip, static_cast<uint16_t>(settings.platform.port),
+          std::chrono::milliseconds(settings.platform.timeout_ms)};
+}
+
+std::string_view StateName(pb::MemberStateCode state) {
+  switch (state) {
+    case pb::MEMBER_ALIVE:
+      return "alive";
+    case pb::MEMBER_SUSPECT:
+      return "suspect";
+    case pb::MEMBER_DEAD:
+      return "dead";
+    case pb::MEMBER_LEFT:
+      return "left";
+    default:
+      return "unknown";
+  }
+}
+
+nlohmann::json ToJson(const pb::MemberRecord& record) {
+  return {{"name", record.name()},
+          {"incarnation", record.incarnation()},
+          {"state", StateName(record.state())},
+          {"draining", record.draining()},
+          {"service", record.service()},
+          {"region", record.region()},
+          {"data_centre", record.data_centre()},
+          {"ip", record.ip()},
+          {"caller_port", record.caller_port()},
+          {"peer_port", record.peer_port()},
+          {"control_port", record.control_port()},
+          {"admin_port", record.admin_port()},
+          {"slots", record.slots()},
+          {"config_version", record.config_version()}};
+}
+
+}  // namespace
+
+struct Node::Impl {
+  Impl(EventLoop& event_loop, const Settings& node_settings)
+      : loop(event_loop),
+        settings(node_settings),
+        random(std::random_device{}()),
+        platform(loop, PlatformOptions(settings)),
+        control(loop, settings, platform, metrics, random),
+        serving(loop, settings, control.incarnation(), metrics, random),
+        entry(loop, settings, control.view(), metrics, random,
+              [this](const CallRecord& record) { Observe(record); }),
+        admin(loop, MakeAdminHooks()),
+        leave_timer(loop, [this] { Leave(); }) {}
+
+  AdminHooks MakeAdminHooks();
+  nlohmann::json Status() const;
+  nlohmann::json Members() const;
+  void Observe(const CallRecord& record);
+  void StartDrain();
+  void OnIdle();
+  void StopEntry();
+  void Leave();
+
+  EventLoop& loop;
+  Settings settings;
+  RandomSource random;
+  Metrics metrics;
+  BurnRecorder burn;
+  PlatformClient platform;
+  ControlPlane control;
+  ServingProxy serving;
+  EntryProxy entry;
+  AdminServer admin;
+  Timer leave_timer;
+  int64_t drain_start_us = 0;
+  bool is_draining = false;
+  bool is_idle = false;
+  bool is_stopping = false;
+};
+
+AdminHooks Node::Impl::MakeAdminHooks() {
+  AdminHooks hooks;
+  hooks.metrics_text = [this] { return metrics.Text(); };
+  hooks.status = [this] { return Status(); };
+  hooks.members = [this] { return Members(); };
+  hooks.burn = [this] {
+    return nlohmann::json::parse(ToJson(burn.Snapshot(settings.node.name, EventLoop::NowUs())));
+  };
+  hooks.start_drain = [this] { StartDrain(); };
+  return hooks;
+}
+
+nlohmann::json Node::Impl::Status() const {
+  uint64_t version = control.delivery().version();
+  std::string_view state = "serving";
+  if (version == 0 || control.IsInConflict()) state = "starting";
+  if (is_draining) state = is_idle ? "drained" : "draining";
+  return {{"name", settings.node.name},
+          {"incarnation", control.incarnation()},
+          {"version", version},
+          {"state", state}};
+}
+
+nlohmann::json Node::Impl::Members() const {
+  nlohmann::json list = nlohmann::json::array();
+  for (const pb::MemberRecord& record : control.Members()) list.push_back(ToJson(record));
+  return list;
+}
+
+void Node::Impl::Observe(const CallRecord& record) {
+  burn.Record(record.service, record.kind, record.outcome, record.latency_us, EventLoop::NowUs());
+}
+
+void Node::Impl::StartDrain() {
+  if (is_draining) return;
+  is_draining = true;
+  drain_start_us = EventLoop::NowUs();
+  LOG(INFO) << "event=drain_started node=" << settings.node.name;
+  control.SetDraining(true);
+  serving.StartDrain([this] { OnIdle(); });
+}
+
+void Node::Impl::OnIdle() {
+  LOG(INFO) << "event=drain_finished node=" << settings.node.name
+            << " duration_ms=" << (EventLoop::NowUs() - drain_start_us) / 1000;
+  is_idle = true;
+  if (is_stopping) StopEntry();
+}
+
+// The entry side stops last: a request that runs on the backend server may need calls through it.
+void Node::Impl::StopEntry() {
+  entry.StartDrain([this] { Leave(); });
+}
+
+void Node::Impl::Leave() {
+  auto notice_end_us = drain_start_us + std::chrono::microseconds(kDrainNotice).count();
+  int64_t wait_us = notice_end_us - EventLoop::NowUs();
+  if (wait_us > 0) {
+    leave_timer.Start(std::chrono::microseconds(wait_us));
+    return;
+  }
+  control.Leave([this] { loop.Stop(); });
+}
+
+Node::Node(EventLoop& loop, const Settings& settings)
+    : m_impl(std::make_unique<Impl>(loop, settings)) {}
+
+Node::~Node() = default;
+
+tl::expected<void, NodeError> Node::Start() {
+  const Settings& settings = m_impl->settings;
+  if (auto listening = m_impl->serving.Listen(); !listening) {
+    return tl::make_unexpected(NodeError{listening.error().message});
+  }
+  if (auto listening = m_impl->entry.Listen(); !listening) {
+    return tl::make_unexpected(NodeError{listening.error().message});
+  }
+  auto admin =
+      m_impl->admin.Listen(settings.listen.ip, static_cast<uint16_t>(settings.listen.admin_port));
+  if (!admin) return tl::make_unexpected(NodeError{admin.error().message});
+  if (auto started = m_impl->control.Start(); !started) {
+    return tl::make_unexpected(NodeError{started.error().message});
+  }
+  LOG(INFO) << "event=started node=" << settings.node.name
+            << " incarnation=" << m_impl->control.incarnation()
+            << " service=" << settings.node.service << " data_centre=" << settings.node.data_centre;
+  return {};
+}
+
+void Node::Stop() {
+  if (m_impl->is_stopping) return;
+  m_impl->is_stopping = true;
+  bool was_idle = m_impl->is_idle;
+  m_impl->StartDrain();
+  // A node that was drained before has no other event to wait for.
+  if (was_idle) m_impl->StopEntry();
+}
+
+}  // namespace guavatrail
