Replace silent control connections and let settled keepers vouch at once

Cause: (1) with all open connections silent, promises and pulls went on over the silent ones for over 8 s: heartbeats watch successors only, and replies took the replier's own outgoing connection, which may be the silent one. (2) In a mesh younger than 30 s no keeper could vouch for a floor, so a restarted node waited for the platform. Change: an unanswered pull, promise or floor query replaces the connection after 1 s; replies go back on the connection of the request; a keeper whose record of a node is 5 s old vouches for it.

--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -20,6 +20,9 @@
 // A storm of changes rebuilds the overlay and the endpoint list once in this time.
 constexpr int64_t kRefreshDelayMs = 20;
 constexpr int64_t kLeaveMs = 500;
+// A request to a keeper or announcer without answer for this long gets a new connection. Heartbeats
+// find silent connections to successors only, and later than a note has to be in force.
+constexpr int64_t kSilenceMs = 1000;
 constexpr int64_t kOnDemandIdleMs = 10'000;
 constexpr size_t kMaxOnDemand = 16;
 constexpr int64_t kContactMs = 2000;
@@ -48,6 +51,11 @@
   return record;
 }
 
+// The peer answers these at once.
+bool IsRequest(const pb::ControlMessage& message) {
+  return message.has_notes_request() || message.has_version_promise() || message.has_floor_query();
+}
+
 std::string AddressOf(const pb::MemberRecord& record) {
   return record.ip() + ":" + std::to_string(record.control_port());
 }
@@ -97,6 +105,7 @@
       m_random(random),
       m_table(OwnRecord(settings)),
       m_detector(DetectorOptionsOf(settings)),
+      m_replies(kSilenceMs),
       m_transport(loop, TransportOptionsOf(settings), metrics),
       m_delivery(loop, settings, m_table.self().started_ms(), platform, metrics, random,
                  MakeDeliveryPorts()),
@@ -434,16 +443,32 @@
 bool ControlPlane::SendTo(std::string_view node, const pb::ControlMessage& message) {
   auto used = m_on_demand.find(node);
   if (used != m_on_demand.end()) used->second = NowMs();
+  if (m_replies.IsSilent(node, NowMs())) {
+    m_replies.Reset(node);
+    LOG(INFO) << "event=silent_connection_replaced node=" << node;
+    m_transport.Disconnect(node);
+    OpenOnDemand(node);
+  }
+  if (IsRequest(message)) m_replies.Sent(node, NowMs());
   if (m_transport.Send(node, message)) return true;
+  return OpenOnDemand(node) && m_transport.Send(node, message);
+}
+
+// Connects to a member that is not connected. A successor keeps its place; others are closed when
+// idle.
+bool ControlPlane::OpenOnDemand(std::string_view node) {
   const pb::MemberRecord* record = m_table.Find(node);
   bool is_usable = record != nullptr && IsLive(*record) && node != m_settings.node.name;
-  if (!is_usable || m_transport.IsConnected(node) || m_on_demand.size() >= kMaxOnDemand) {
-    return false;
+  if (!is_usable || m_transport.IsConnected(node)) return false;
+  bool is_successor =
+      std::find(m_successors.begin(), m_successors.end(), node) != m_successors.end();
+  if (!is_successor) {
+    if (m_on_demand.size() >= kMaxOnDemand && m_on_demand.count(node) == 0) return false;
+    m_on_demand[std::string(node)] = NowMs();
   }
-  m_on_demand[std::string(node)] = NowMs();
   m_connected_lifetimes[std::string(node)] = record->started_ms();
   m_transport.Connect(node, AddressOf(*record));
-  return m_transport.Send(node, message);
+  return true;
 }
 
 void ControlPlane::SendToNeighbours(const pb::ControlMessage& message, std::string_view except) {
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -28,6 +28,7 @@
 #include "overlay.h"
 #include "platform_client.h"
 #include "random_source.h"
+#include "reply_watch.h"
 #include "settings.h"
 
 namespace guavatrail {
@@ -87,6 +88,7 @@
   void Merge(Sender from, const pb::MemberRecord& record);
   void OnReport(Sender from, const pb::MemberRecord& record, const std::string& reporter);
   bool SendTo(std::string_view node, const pb::ControlMessage& message);
+  bool OpenOnDemand(std::string_view node);
   void SendToNeighbours(const pb::ControlMessage& message, std::string_view except);
   void SendRecord(std::string_view node, std::string_view about);
 
@@ -120,6 +122,7 @@
   RandomSource& m_random;
   MemberTable m_table;
   FailureDetector m_detector;
+  ReplyWatch m_replies;
   Overlay m_overlay;
   ControlTransport m_transport;
   DeliveryAgent m_delivery;
--- a/src/control_plane_messages.cc
+++ b/src/control_plane_messages.cc
@@ -21,6 +21,10 @@
 }  // namespace
 
 void ControlPlane::OnMessage(Sender from, const pb::ControlMessage& message) {
+  bool is_answer =
+      message.has_notes_reply() || message.has_promise_ack() || message.has_floor_reply();
+  // Other messages may come over another connection than the one that the requests go out on.
+  if (is_answer) m_replies.Heard(from);
   // A node that leaves or whose name is taken only listens to what concerns membership.
   bool takes_part = !m_is_leaving && !m_table.IsInConflict();
   switch (message.body_case()) {
--- a/src/control_transport.cc
+++ b/src/control_transport.cc
@@ -90,6 +90,11 @@
   return {what + ": " + zmq_strerror(zmq_errno())};
 }
 
+bool IsReply(const pb::ControlMessage& message) {
+  return message.has_heartbeat_ack() || message.has_notes_reply() || message.has_promise_ack() ||
+         message.has_floor_reply();
+}
+
 std::string ZeroMqAddress(std::string_view address) { return "tcp://" + std::string(address); }
 
 }  // namespace
@@ -286,32 +291,43 @@
 }
 
 bool ControlTransport::Send(std::string_view node, const pb::ControlMessage& message) {
-  auto dealer = m_dealers.find(node);
-  Socket* socket = dealer != m_dealers.end() ? dealer->second.get() : m_router.get();
-  if (socket == nullptr) return false;
-  // Two encoded messages in a row decode as their merge, so the body need not be copied to add the
-  // envelope.
-  pb::ControlMessage envelope;
-  envelope.set_sender(m_options.node);
-  envelope.set_receiver(socket == m_router.get() ? std::string(node) : socket->node);
-  std::string bytes = message.SerializeAsString();
-  envelope.AppendToString(&bytes);
-  if (bytes.size() > kMaxControlMessageBytes) {
+  std::string body = message.SerializeAsString();
+  if (body.size() + EnvelopeFor(node).ByteSizeLong() > kMaxControlMessageBytes) {
     m_counters.oversized.Add();
     LOG_EVERY_T(ERROR, kLogPeriodS)
-        << "event=message_too_large node=" << node << " bytes=" << bytes.size();
+        << "event=message_too_large node=" << node << " bytes=" << body.size();
     return false;
   }
+  auto dealer = m_dealers.find(node);
+  // A reply takes the connection of the request if the peer opened it: that one works, while the
+  // outgoing one may be silent without this node's notice.
+  bool by_router = dealer == m_dealers.end() || IsReply(message);
+  bool sent = by_router && SendOn(m_router.get(), node, body);
+  if (!sent && dealer != m_dealers.end()) sent = SendOn(dealer->second.get(), node, body);
+  if (!sent) m_counters.dropped.Add();
+  return sent;
+}
+
+pb::ControlMessage ControlTransport::EnvelopeFor(std::string_view receiver) const {
+  pb::ControlMessage envelope;
+  envelope.set_sender(m_options.node);
+  envelope.set_receiver(std::string(receiver));
+  return envelope;
+}
+
+bool ControlTransport::SendOn(Socket* socket, std::string_view node, std::string_view body) {
+  if (socket == nullptr) return false;
+  bool is_router = socket == m_router.get();
+  // Two encoded messages in a row decode as their merge, so the envelope is appended to the body.
+  std::string bytes(body);
+  EnvelopeFor(is_router ? node : socket->node).AppendToString(&bytes);
   Frames frames;
-  if (socket == m_router.get()) frames.emplace_back(node);
+  if (is_router) frames.emplace_back(node);
   size_t size = bytes.size();
   frames.push_back(std::move(bytes));
   bool sent = SendFrames(socket->handle, frames);
   socket->Rearm();
-  if (!sent) {
-    m_counters.dropped.Add();
-    return false;
-  }
+  if (!sent) return false;
   m_counters.messages_out.Add();
   m_counters.bytes_out.Add(size);
   return true;
--- a/src/control_transport.h
+++ b/src/control_transport.h
@@ -62,7 +62,8 @@
   void Disconnect(std::string_view node);
   bool IsConnected(std::string_view node) const;
 
-  // Uses the outgoing connection, or else one that the node opened. False when the message was
+  // Uses the outgoing connection, or else one that the node opened; a reply uses the latter first.
+  // False when the message was
   // dropped at once: no connection, a full queue, or over kMaxControlMessageBytes.
   bool Send(std::string_view node, const pb::ControlMessage& message);
 
@@ -86,6 +87,9 @@
 
   std::shared_ptr<Socket> OpenSocket(int type, void (ControlTransport::*drain)(Socket&));
   bool SetKeys(Socket& socket, bool is_server);
+  // Names this node and the receiver, so that a message to a taken-over address is noticed.
+  pb::ControlMessage EnvelopeFor(std::string_view receiver) const;
+  bool SendOn(Socket* socket, std::string_view node, std::string_view body);
   tl::expected<void, TransportError> ListenForAuthentication();
   tl::expected<void, TransportError> ListenForEvents();
   void Open(std::string_view peer, std::string_view node, std::string_view address);
--- a/src/delivery_agent.cc
+++ b/src/delivery_agent.cc
@@ -343,7 +343,7 @@
 
 void DeliveryAgent::Impl::OnVersionPromise(std::string_view node,
                                            const pb::VersionPromise& promise) {
-  m_promises.Record(node, promise.version());
+  m_promises.Record(node, promise.version(), NowMs());
   pb::ControlMessage message;
   message.mutable_promise_ack()->set_version(promise.version());
   m_ports.send(node, message);
@@ -355,7 +355,7 @@
   reply->set_request_id(query.request_id());
   reply->set_floor(m_promises.Floor(node));
   reply->set_version(m_in_force == nullptr ? 0 : m_in_force->version());
-  reply->set_newly_started(m_promises.IsNewlyStarted(NowMs()));
+  reply->set_newly_started(!m_promises.KnowsAllPromisesOf(node, NowMs()));
   m_ports.send(node, message);
 }
 
--- a/src/version_guard.cc
+++ b/src/version_guard.cc
@@ -148,14 +148,20 @@
   return actions;
 }
 
-void PromiseBook::Record(std::string_view node, uint64_t version) {
-  uint64_t& floor = m_floors.try_emplace(std::string(node), 0).first->second;
-  floor = std::max(floor, version);
+void PromiseBook::Record(std::string_view node, uint64_t version, int64_t now_ms) {
+  Entry& entry = m_entries.try_emplace(std::string(node), Entry{0, now_ms}).first->second;
+  entry.floor = std::max(entry.floor, version);
 }
 
 uint64_t PromiseBook::Floor(std::string_view node) const {
-  auto it = m_floors.find(node);
-  return it == m_floors.end() ? 0 : it->second;
+  auto it = m_entries.find(node);
+  return it == m_entries.end() ? 0 : it->second.floor;
+}
+
+bool PromiseBook::KnowsAllPromisesOf(std::string_view node, int64_t now_ms) const {
+  if (!IsNewlyStarted(now_ms)) return true;
+  auto it = m_entries.find(node);
+  return it != m_entries.end() && now_ms - it->second.first_ms >= kSettledMs;
 }
 
 }  // namespace guavatrail
--- a/src/version_guard.h
+++ b/src/version_guard.h
@@ -99,13 +99,24 @@
   static constexpr int64_t kNewlyStartedMs = 30'000;
 
   explicit PromiseBook(int64_t start_ms) : m_start_ms(start_ms) {}
-  void Record(std::string_view node, uint64_t version);
+  // Time after which repeated promises have replaced any older one that was still on its way when
+  // the keeper was started.
+  static constexpr int64_t kSettledMs = 5'000;
+
+  void Record(std::string_view node, uint64_t version, int64_t now_ms);
+  // Whether the floor of `node` covers all promises that it has made to this keeper. A node repeats
+  // its promise to a keeper that was restarted, so a settled record is as good as a long lifetime.
+  bool KnowsAllPromisesOf(std::string_view node, int64_t now_ms) const;
   uint64_t Floor(std::string_view node) const;
   bool IsNewlyStarted(int64_t now_ms) const { return now_ms - m_start_ms < kNewlyStartedMs; }
 
  private:
   int64_t m_start_ms;
-  std::map<std::string, uint64_t, std::less<>> m_floors;
+  struct Entry {
+    uint64_t floor = 0;
+    int64_t first_ms = 0;
+  };
+  std::map<std::string, Entry, std::less<>> m_entries;
 };
 
 }  // namespace guavatrail
