--- a/test/scenarios/fleet.py
+++ b/test/scenarios/fleet.py
@@ -99,8 +99,10 @@
     while len(order) < count:  # fleets above the sample size, for benchmarks
         order.append((list(services)[len(order) % len(services)], len(order) + 1))
     chosen = order[:count] if count else order
-    return [(service, number, region, f"{region}-{i % centres + 1}")
-            for i, (service, number) in enumerate(chosen)]
+    # The servers of each service are spread over the data centres.
+    shift = {service: i for i, service in enumerate(services)}
+    return [(service, number, region, f"{region}-{(shift[service] + number - 1) % centres + 1}")
+            for service, number in chosen]
 
 
 class Fleet:
