Replace silent connections on demand and repeat promises often enough

Promises to keepers travel on connections that are opened on demand; each repetition renewed the connection's last use, so a silent one was never closed. The repetitions also slowed to one in 4.8 s, so that one could miss the new connection within the 6 s bound. Change: a connection on demand whose sends stay unanswered for 1.5 s is closed, and the next message opens another; the longest delay between repetitions is 600 ms.

--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -21,6 +21,9 @@
 constexpr int64_t kRefreshDelayMs = 20;
 constexpr int64_t kLeaveMs = 500;
 constexpr int64_t kOnDemandIdleMs = 10'000;
+// Everything sent on demand is answered or repeated. An open connection that carries sends but no
+// answer for this time may be silent for good and is closed; the next message opens another.
+constexpr int64_t kOnDemandSilentMs = 1'500;
 constexpr size_t kMaxOnDemand = 16;
 constexpr int64_t kContactMs = 2000;
 constexpr int64_t kProbeConflictMs = 5000;
@@ -258,7 +261,11 @@
 void ControlPlane::CloseIdle() {
   int64_t now_ms = NowMs();
   std::erase_if(m_on_demand, [&](const auto& item) {
-    if (now_ms - item.second < kOnDemandIdleMs) return false;
+    const OnDemand& connection = item.second;
+    bool is_idle = now_ms - connection.used_ms >= kOnDemandIdleMs;
+    bool is_silent =
+        connection.unanswered_ms > 0 && now_ms - connection.unanswered_ms >= kOnDemandSilentMs;
+    if (!is_idle && !is_silent) return false;
     m_transport.Disconnect(item.first);
     return true;
   });
@@ -433,14 +440,17 @@
 
 bool ControlPlane::SendTo(std::string_view node, const pb::ControlMessage& message) {
   auto used = m_on_demand.find(node);
-  if (used != m_on_demand.end()) used->second = NowMs();
+  if (used != m_on_demand.end()) {
+    used->second.used_ms = NowMs();
+    if (used->second.unanswered_ms == 0) used->second.unanswered_ms = NowMs();
+  }
   if (m_transport.Send(node, message)) return true;
   const pb::MemberRecord* record = m_table.Find(node);
   bool is_usable = record != nullptr && IsLive(*record) && node != m_settings.node.name;
   if (!is_usable || m_transport.IsConnected(node) || m_on_demand.size() >= kMaxOnDemand) {
     return false;
   }
-  m_on_demand[std::string(node)] = NowMs();
+  m_on_demand[std::string(node)] = {NowMs(), NowMs()};
   m_connected_lifetimes[std::string(node)] = record->started_ms();
   m_transport.Connect(node, AddressOf(*record));
   return m_transport.Send(node, message);
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -136,8 +136,14 @@
     bool replace = false;
   };
   std::map<std::string, DueConnection> m_due_connections;
-  // Last use in ms of connections opened on demand, and opening times of contacts.
-  std::map<std::string, int64_t, std::less<>> m_on_demand;
+  // Connections opened on demand; times in ms.
+  struct OnDemand {
+    int64_t used_ms = 0;
+    // First message sent since the last one from the node; 0: none.
+    int64_t unanswered_ms = 0;
+  };
+  std::map<std::string, OnDemand, std::less<>> m_on_demand;
+  // Opening times in ms of connections to contacts.
   std::map<std::string, int64_t> m_contacts;
   // Nodes from which changed records came; they need not get them back.
   std::map<std::string, std::string> m_news_sources;
--- a/src/control_plane_messages.cc
+++ b/src/control_plane_messages.cc
@@ -21,6 +21,8 @@
 }  // namespace
 
 void ControlPlane::OnMessage(Sender from, const pb::ControlMessage& message) {
+  auto on_demand = m_on_demand.find(from);
+  if (on_demand != m_on_demand.end()) on_demand->second.unanswered_ms = 0;
   // A node that leaves or whose name is taken only listens to what concerns membership.
   bool takes_part = !m_is_leaving && !m_table.IsInConflict();
   switch (message.body_case()) {
--- a/src/version_guard.h
+++ b/src/version_guard.h
@@ -25,8 +25,10 @@
 struct GuardTiming {
   // A promise or query without answer is repeated.
   int64_t repeat_ms = 300;
-  // Longest delay between repetitions; reached by doubling.
-  int64_t longest_repeat_ms = 4'800;
+  // Longest delay between repetitions; reached by doubling. A silent connection is replaced about
+  // 4 s after its last message, and a repetition must follow well within the 6 s in which a version
+  // goes in force.
+  int64_t longest_repeat_ms = 600;
   // A node that knows no other member waits this long for the membership before it relies on the
   // platform alone.
   int64_t lone_start_ms = 1'000;
