--- a/src/publish_decision.cc
+++ b/src/publish_decision.cc
@@ -42,15 +42,14 @@
   return {reason, other == nullptr ? "" : other->note_id};
 }
 
-// Whether an update that contains the note may still take effect on the head as read.
-bool IsUpdateUnderWay(const PublishProgress& progress, const HeadObject& object) {
-  return progress.earlier_attempt ||
-         (progress.unanswered && *progress.unanswered >= object.object_version);
+// Whether the head as read may be stale or an update with the note may still take effect on it.
+bool IsRefusalOpen(const PublishProgress& progress, const HeadObject& object) {
+  return !progress.fenced || (progress.unanswered && *progress.unanswered >= object.object_version);
 }
 
 WriteDecision Refuse(const PublishProgress& progress, const HeadObject& object,
                      NoteRefused refusal) {
-  if (!IsUpdateUnderWay(progress, object)) return refusal;
+  if (!IsRefusalOpen(progress, object)) return refusal;
   return UpdateHead{{}, object.head, object.object_version, true};
 }
 
@@ -81,7 +80,6 @@
 }
 
 void RecordClaimFound(PublishProgress& progress, uint64_t claim_version) {
-  progress.earlier_attempt = true;
   // Entries after the base must be examined for conflicts even when they cannot have the id.
   progress.checked_version = std::min(claim_version, progress.base_version);
 }
@@ -129,9 +127,7 @@
     case WriteOutcome::kDone:
       progress.known_object_version = std::max(progress.known_object_version, next);
       if (!update.is_fence) return update.head.version;
-      // Every update that an ended run has sent is conditional on an object version that has
-      // passed.
-      progress.earlier_attempt = false;
+      progress.fenced = true;
       return std::nullopt;
     case WriteOutcome::kConflict:
       // The object version was passed, so lower reads are stale.
--- a/src/publish_decision.h
+++ b/src/publish_decision.h
@@ -2,9 +2,10 @@
 // accepted, and when it may be reported as refused. Pure: the publisher carries them out.
 //
 // A conditional update that was not answered may take effect later, until the object version that
-// it is conditional on has passed. A note is therefore reported as refused only when no update that
-// contains it can still take effect; a fence, which writes the same head again, passes the object
-// version when nothing else has.
+// it is conditional on has passed, and a read of the head may be stale. A note is therefore
+// reported as refused only after a fence, a conditional write of the same head: it shows that the
+// head was current and passes its object version, so that no update under way can still take
+// effect.
 #pragma once
 
 #include <cstdint>
@@ -24,8 +25,8 @@
   uint64_t base_version = 0;
   // No entry up to this version has the note's id.
   uint64_t checked_version = 0;
-  // Another run has tried this id and may have an update of the head under way.
-  bool earlier_attempt = false;
+  // A fence of this run took effect: updates by ended runs can no longer take effect.
+  bool fenced = false;
   // The highest object version that an unanswered update of this run is conditional on.
   std::optional<uint64_t> unanswered;
   // Heads of a lower object version are stale.
@@ -69,7 +70,8 @@
 // Records that the run has created the claim of the note's id, after it read the first head: no
 // publisher got further with this id before, so no entry of the first head has it.
 void RecordClaimCreated(PublishProgress& progress);
-// Records that the claim exists; its creator had read a head at `claim_version`.
+// Records that the claim exists; its creator had read a head at `claim_version`, and no entry up to
+// there has the id.
 void RecordClaimFound(PublishProgress& progress, uint64_t claim_version);
 
 // Judges a head as read. `older` are the entries asked for by NeedEntries, if any.
