--- a/test/correctness/admission_keeps_goodput_under_overload_test.cc
+++ b/test/correctness/admission_keeps_goodput_under_overload_test.cc
@@ -49,6 +49,26 @@
   EXPECT_EQ(all.sent, all.good + all.refused + all.late);
 }
 
+// With 17 entry nodes and 5 servers, avoiding servers that have refused must not leave them idle.
+TEST_P(AdmissionKeepsGoodputUnderOverload, OfSeveralServers) {
+  double factor = GetParam();
+  auto run = [&](ModelOptions options) {
+    options = Overload(std::move(options), factor);
+    options.servers = 5;
+    options.entries = 17;
+    for (ModelPhase& phase : options.phases) phase.rate *= 5;
+    options.phases.back().length_us = 5 * kSecond;
+    return RunModel(options);
+  };
+  ModelResult baseline = run(BaselinePolicies());
+  ModelResult ours = run(OurPolicies());
+  Print("baseline_of_5", factor, baseline);
+  Print("ours_of_5", factor, ours);
+  EXPECT_GT(ours.Goodput(5 * kSecond, 10 * kSecond), 0.9 * 5 * kCapacity);
+  EXPECT_LE(ours.RecoveryUs(10 * kSecond), 600'000);
+  EXPECT_LT(ours.RecoveryUs(10 * kSecond), baseline.RecoveryUs(10 * kSecond));
+}
+
 INSTANTIATE_TEST_SUITE_P(Factors, AdmissionKeepsGoodputUnderOverload, testing::Values(2.0, 4.0));
 
 }  // namespace
