--- /dev/null
+++ b/test/correctness/entry_node_forwards_calls_test.cc
@@ -0,0 +1,157 @@
+// Guards against calls that are not answered whole, not placed elsewhere when that is safe, or
+// reported falsely.
+#include "entry_fixture.h"
+
+namespace guavatrail {
+namespace {
+
+class EntryNodeForwardsCalls : public EntryFixture {
+ protected:
+  static void AnswerOk(FakeConnection& c, const std::string&) { c.Send(Answer(200, "spring")); }
+};
+
+TEST_F(EntryNodeForwardsCalls, AnAnswerComesBackWhole) {
+  Server& server = AddServer(AnswerOk);
+  Start();
+  auto client = Ask("GET", "/pecas/4711?colour=red",
+                    "X-Guavatrail-Work: forged\r\nX-Guavatrail-Request-Id: forged\r\nX-A: b\r\n");
+  EXPECT_EQ(client->status(), 200);
+  EXPECT_EQ(client->body(), "spring");
+  EXPECT_EQ(client->header("X-Guavatrail-Outcome"), "answered");
+  EXPECT_NE(client->header("X-Guavatrail-Load"), "");
+  ASSERT_EQ(server.requests.size(), 1U);
+  EXPECT_TRUE(server.requests[0].starts_with("GET /pecas/4711?colour=red HTTP/1.1"));
+  EXPECT_EQ(HeaderIn(server.requests[0], "X-A"), "b");
+  EXPECT_EQ(HeaderIn(server.requests[0], "X-Guavatrail-Work"), "");
+  EXPECT_EQ(m_outcomes, std::vector{CallOutcome::kGood});
+  EXPECT_EQ(m_body_bytes, 6U);
+  EXPECT_EQ(m_metrics.GetHistogram("call_added_us", "kind=\"lookup\"").count(), 1U);
+}
+
+TEST_F(EntryNodeForwardsCalls, WithoutRouteTableOrServerNothingIsRun) {
+  Start();
+  auto no_route = Ask("GET", "/elsewhere");
+  EXPECT_EQ(no_route->status(), 404);
+  EXPECT_EQ(no_route->header("X-Guavatrail-Outcome"), "not-run");
+  EXPECT_EQ(Ask("POST", "/guavatrail/v1/order-key")->status(), 404);
+  auto no_server = Ask("GET", "/pecas/1");
+  EXPECT_EQ(no_server->status(), 503);
+  EXPECT_EQ(no_server->header("X-Guavatrail-Outcome"), "not-run");
+  EXPECT_NE(no_server->header("Retry-After"), "");
+  m_table = nullptr;
+  auto no_table = Ask("GET", "/pecas/1");
+  EXPECT_EQ(no_table->status(), 503);
+  EXPECT_EQ(no_table->header("X-Guavatrail-Outcome"), "not-run");
+  EXPECT_NE(no_table->header("Retry-After"), "");
+}
+
+TEST_F(EntryNodeForwardsCalls, TheShorterDeadlineIsPassedOn) {
+  Server& server = AddServer(AnswerOk);
+  Start();
+  Ask("GET", "/pecas/1", "X-Guavatrail-Deadline-Ms: 300\r\n");
+  Ask("GET", "/pecas/1", "X-Guavatrail-Deadline-Ms: 900000\r\n");
+  int shorter = std::stoi(HeaderIn(server.requests[0], "X-Guavatrail-Deadline-Ms"));
+  int own = std::stoi(HeaderIn(server.requests[1], "X-Guavatrail-Deadline-Ms"));
+  EXPECT_GT(shorter, 100);
+  EXPECT_LE(shorter, 300);
+  EXPECT_GT(own, 4000);
+  EXPECT_LE(own, 5000);
+  EXPECT_EQ(Ask("GET", "/pecas/1", "X-Guavatrail-Deadline-Ms: soon\r\n")->status(), 400);
+  EXPECT_EQ(Ask("GET", "/pecas/1", "X-Guavatrail-Deadline-Ms: 0\r\n")->status(), 503);
+  EXPECT_EQ(server.requests.size(), 2U);
+}
+
+TEST_F(EntryNodeForwardsCalls, AtItsDeadlineACallGetsItsAnswer) {
+  AddServer([](FakeConnection&, const std::string&) {});
+  Start();
+  int64_t start_us = EventLoop::NowUs();
+  auto client = Ask("GET", "/pecas/1", "X-Guavatrail-Deadline-Ms: 100\r\n");
+  EXPECT_EQ(client->status(), 504);
+  EXPECT_EQ(client->header("X-Guavatrail-Outcome"), "unknown");
+  EXPECT_LT(EventLoop::NowUs() - start_us, 1'000'000);
+}
+
+TEST_F(EntryNodeForwardsCalls, ANodeThatRefusesConnectionsIsPassedOver) {
+  AddEndpoint("encomendas-0", UnusedPort());
+  AddServer(AnswerOk);
+  Start();
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(Ask("POST", "/notes/1")->status(), 200);
+    EXPECT_EQ(Ask("GET", "/pecas/1")->status(), 200);
+  }
+}
+
+TEST_F(EntryNodeForwardsCalls, ADrainingNodeIsPassedOver) {
+  Server& leaving = AddServer(AnswerOk);
+  AddServer(AnswerOk);
+  Start();
+  leaving.proxy->StartDrain([] {});
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(Ask("GET", "/pecas/1")->status(), 200);
+    EXPECT_EQ(Ask("POST", "/notes/1")->status(), 200);
+  }
+  EXPECT_EQ(leaving.requests.size(), 0U);
+}
+
+TEST_F(EntryNodeForwardsCalls, ALookupIsTriedElsewhereWhenItsNodeBreaks) {
+  Server& broken = AddFakeNode([](FakeConnection& c, const std::string&) { c.Close(); });
+  AddServer(AnswerOk);
+  Start();
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(Ask("GET", "/pecas/1")->status(), 200);
+  EXPECT_GE(broken.requests.size(), 1U);
+}
+
+TEST_F(EntryNodeForwardsCalls, AnAnswerCutOnItsWayIsCutForTheCaller) {
+  FakeConnection* connection = nullptr;
+  AddServer([&](FakeConnection& c, const std::string&) {
+    connection = &c;
+    c.Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345");
+  });
+  Start();
+  auto client = Send("GET", "/pecas/1");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->received().ends_with("12345"); }));
+  connection->Close();
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->closed_by_peer(); }));
+  EXPECT_FALSE(client->HasWholeAnswer());
+  EXPECT_EQ(m_outcomes, std::vector{CallOutcome::kIncomplete});
+}
+
+TEST_F(EntryNodeForwardsCalls, AnAnswerToAnotherRequestIsNotTaken) {
+  AddFakeNode([](FakeConnection& c, const std::string&) {
+    c.Send(NodeAnswer("\r\nX-Guavatrail-Request-Id: another\r\n", 200, "answered", "wrong"));
+  });
+  Start();
+  auto client = Ask("GET", "/pecas/1");
+  EXPECT_EQ(client->status(), 502);
+  EXPECT_EQ(client->header("X-Guavatrail-Outcome"), "unknown");
+}
+
+TEST_F(EntryNodeForwardsCalls, ACallerThatLeavesCancelsItsCall) {
+  FakeConnection* connection = nullptr;
+  AddServer([&](FakeConnection& c, const std::string&) { connection = &c; });
+  Start();
+  auto client = Send("GET", "/pecas/1");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return connection != nullptr; }));
+  client.reset();
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return connection->peer_closed(); }));
+  EXPECT_TRUE(m_outcomes.empty());
+}
+
+TEST_F(EntryNodeForwardsCalls, ADrainEndsWhenAllCallsHaveTheirAnswers) {
+  FakeConnection* connection = nullptr;
+  AddServer([&](FakeConnection& c, const std::string&) { connection = &c; });
+  Start();
+  auto client = Send("GET", "/pecas/1");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return connection != nullptr; }));
+  bool idle = false;
+  m_entry->StartDrain([&] { idle = true; });
+  EXPECT_EQ(Ask("GET", "/pecas/1")->status(), 503);
+  EXPECT_FALSE(idle);
+  connection->Send(Answer(200, "spring"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return idle; }));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->HasWholeAnswer(); }));
+  EXPECT_EQ(client->body(), "spring");
+}
+
+}  // namespace
+}  // namespace guavatrail
