Match routes on whole path segments

Cause: MatchRoute compared text prefixes, so the route /manuais also took the requests of /manuais-antigos. Change: the path must equal the prefix or continue after a slash. Conclusion: routes only take what is below them.

--- a/src/config_table.cc
+++ b/src/config_table.cc
@@ -53,6 +53,13 @@
   return {};
 }
 
+// Whether `path` is `prefix` or continues it after a slash, so that /manuais does not take
+// /manuais-antigos.
+bool IsBelow(std::string_view path, std::string_view prefix) {
+  if (!path.starts_with(prefix)) return false;
+  return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/';
+}
+
 std::string_view TypeName(ResourceType type) {
   switch (type) {
     case ResourceType::kService:
@@ -164,7 +171,7 @@
 const Route* ConfigTable::MatchRoute(std::string_view path) const {
   const Route* best = nullptr;
   for (const auto& [name, route] : m_routes) {
-    if (!path.starts_with(route.path_prefix)) continue;
+    if (!IsBelow(path, route.path_prefix)) continue;
     if (best == nullptr || route.path_prefix.size() > best->path_prefix.size()) best = &route;
   }
   return best;
--- a/src/config_table.h
+++ b/src/config_table.h
@@ -124,7 +124,8 @@
   // Null when absent.
   const Service* FindService(std::string_view name) const;
   const WorkKind* FindWorkKind(std::string_view name) const;
-  // The route with the longest path prefix that `path` starts with; null when none matches.
+  // The route with the longest path prefix that `path` equals or continues after a slash; null when
+  // none matches. `path` is without its query.
   const Route* MatchRoute(std::string_view path) const;
 
   // Checks all resources and references; the first error found is returned.
--- a/src/version_guard.h
+++ b/src/version_guard.h
@@ -26,8 +26,8 @@
   // A promise or query without answer is repeated.
   int64_t repeat_ms = 300;
   // Longest delay between repetitions; reached by doubling. A silent connection is replaced by
-  // the first repetition after 1 s, and that must come well within the 6 s in which a version goes in
-  // force.
+  // the first repetition after 1 s, and that must come well within the 6 s in which a version goes
+  // in force.
   int64_t longest_repeat_ms = 600;
   // A node that knows no other member waits this long for the membership before it relies on the
   // platform alone.
