Batch epoll changes in the event loop

Cause: strace of a loaded entry node showed 5.1 epoll_ctl calls for each transfer, half of all its system calls: evhttp drops and adds the read event around each request. Change: EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST. Conclusion: kept; the rest of the profile is flat, with malloc first.

--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -18,6 +18,10 @@
   // The coarse clock of the default configuration is off by up to 4 ms, more than the latency that
   // a call may gain on its way.
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  // Without the change list each read and write of a connection costs up to three epoll_ctl calls,
+  // half of all system calls of a node under load. No descriptor here is closed while a duplicate
+  // of it stays open, which the list would not notice.
+  event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
   m_base.reset(event_base_new_with_config(config));
   event_config_free(config);
   CHECK(m_base != nullptr) << "event_base_new_with_config failed";
