Explore the version guard

Cause: the mesh test does not show that a node waits for its keepers' answers. Change: an exploration of the guard with three nodes, stale reads, lost and delayed messages, restarts of the node and of its keepers, and suspicions. Conclusion: with at most two restarts no node goes back.

--- /dev/null
+++ b/test/correctness/version_guard_exploration_test.cc
@@ -0,0 +1,276 @@
+// Guards against an interleaving of restarts, stale reads of the head, lost and delayed messages in
+// which a node puts a lower version in force than it had before, also across restarts. Visits every
+// state of a model of three nodes that drives the version guard: node a moves, b and c keep its
+// promises, may restart, and stay at their version, since what a keeper tells of a higher version
+// can only hold a back.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <iostream>
+
+#include "explorer.h"
+#include "version_guard.h"
+
+namespace guavatrail {
+namespace {
+
+constexpr size_t kKeepers = 2;
+constexpr uint64_t kHighestVersion = 2;
+// Time stands still; a repetition is due whenever the node acts.
+constexpr int64_t kNow = 1'000;
+
+using GuardRule = std::function<GuardActions(GuardState&)>;
+
+struct Reply {
+  uint64_t floor = 0;
+  uint64_t version = 0;
+  bool newly_started = false;
+};
+
+struct Keeper {
+  uint64_t floor = 1;     // Promised by a.
+  uint64_t in_force = 1;  // 0 after a restart.
+  bool newly_started = false;
+  bool restart_unseen = false;  // By a.
+  // On the way between a and the keeper, the latest of each kind; a message that is never delivered
+  // is a lost one.
+  std::optional<uint64_t> promise;
+  std::optional<uint64_t> ack;
+  std::optional<Reply> reply;
+};
+
+struct Model {
+  uint64_t head = 1;
+  GuardState guard;
+  uint64_t highest_in_force = 1;  // In any lifetime of a.
+  std::array<Keeper, kKeepers> keepers;
+  int restarts_left = 0;
+  int suspicions_left = 0;
+};
+
+std::string Name(size_t i) { return i == 0 ? "b" : "c"; }
+std::vector<std::string> AllKeepers() { return {"b", "c"}; }
+
+class Exploration {
+ public:
+  Exploration(int restarts, int suspicions, GuardRule rule)
+      : m_restarts(restarts), m_suspicions(suspicions), m_rule(std::move(rule)) {}
+
+  // All nodes begin with version 1 in force and all promises of it kept.
+  ExplorationResult Run() {
+    Model initial;
+    initial.restarts_left = m_restarts;
+    initial.suspicions_left = m_suspicions;
+    SetKeepers(initial.guard, AllKeepers(), AllKeepers());
+    RecordHeld(initial.guard, 1);
+    initial.guard.serving = true;
+    initial.guard.in_force = 1;
+    for (const std::string& name : AllKeepers()) RecordPromiseAck(initial.guard, name, 1);
+    constexpr size_t kMaxStates = 3'000'000;
+    return Explore<Model>(
+        initial, [](const Model& m) { return Encode(m); }, &Exploration::Check,
+        [this](const Model& m, const auto& emit) { return Expand(m, emit); }, kMaxStates);
+  }
+
+ private:
+  using Emit = std::function<void(Model&&)>;
+
+  static std::string Encode(const Model& m) {
+    std::string key;
+    auto add = [&key](uint64_t value) { key += static_cast<char>('0' + value); };
+    const GuardState& g = m.guard;
+    for (uint64_t value :
+         {m.head, m.highest_in_force, g.head ? *g.head + 1 : 0, uint64_t{g.platform_reachable},
+          g.highest_floor, g.highest_told, g.held, uint64_t{g.serving}, g.in_force,
+          static_cast<uint64_t>(m.restarts_left), static_cast<uint64_t>(m.suspicions_left)}) {
+      add(value);
+    }
+    for (const std::string& keeper : g.keepers) key += keeper;
+    for (const auto& [name, k] : g.keeper_states) {
+      key += name;
+      add(k.acknowledged);
+      add(uint64_t{k.answered} + 2 * uint64_t{k.newly_started});
+    }
+    for (const Keeper& k : m.keepers) {
+      for (uint64_t value :
+           {k.floor, k.in_force, uint64_t{k.newly_started}, uint64_t{k.restart_unseen},
+            k.promise.value_or(9), k.ack.value_or(9), k.reply ? k.reply->floor : 9,
+            k.reply ? k.reply->version : 9, k.reply ? uint64_t{k.reply->newly_started} : 9}) {
+        add(value);
+      }
+    }
+    return key;
+  }
+
+  static std::optional<std::string> Check(const Model& m) {
+    if (m.guard.serving && m.guard.in_force < m.highest_in_force) return "a node went back";
+    if (m.guard.in_force > m.head) return "a node has a version that was never accepted";
+    return std::nullopt;
+  }
+
+  std::optional<std::string> Expand(const Model& m, const Emit& emit) {
+    if (m.head < kHighestVersion) {
+      Model next = m;
+      ++next.head;
+      emit(std::move(next));
+    }
+    // Any version up to the head may be read, since reads may be stale.
+    for (uint64_t version = 0; version <= m.head; ++version) {
+      Change(m, emit, [&](Model& next) {
+        RecordHead(next.guard, version);
+        RecordHeld(next.guard, version);
+      });
+    }
+    Change(m, emit, [](Model& next) { RecordPlatformFailure(next.guard); });
+    if (m.restarts_left > 0) emit(Restarted(m));
+    for (size_t i = 0; i < kKeepers; ++i) {
+      ExpandKeeper(m, i, emit);
+      ExpandMessages(m, i, emit);
+    }
+    return std::nullopt;
+  }
+
+  static Model Restarted(const Model& m) {
+    Model next = m;
+    --next.restarts_left;
+    next.guard = {};
+    SetKeepers(next.guard, AllKeepers(), AllKeepers());
+    for (Keeper& keeper : next.keepers) {
+      // What was on its way to a is lost with its connections; its promises may still arrive.
+      keeper.ack.reset();
+      keeper.reply.reset();
+      keeper.restart_unseen = false;
+    }
+    return next;
+  }
+
+  void ExpandKeeper(const Model& m, size_t i, const Emit& emit) {
+    const Keeper& keeper = m.keepers[i];
+    if (m.restarts_left > 0) {
+      Model next = m;
+      --next.restarts_left;
+      Keeper fresh{.floor = 0, .in_force = 0, .newly_started = true, .restart_unseen = true};
+      fresh.ack = keeper.ack;
+      fresh.reply = keeper.reply;
+      next.keepers[i] = fresh;
+      emit(std::move(next));
+    }
+    // A keeper counts as newly started until a, if it serves, has noticed and promised again.
+    bool promised =
+        !m.guard.serving || (!keeper.restart_unseen && keeper.floor >= m.guard.in_force);
+    if (keeper.newly_started && promised) {
+      Model next = m;
+      next.keepers[i].newly_started = false;
+      emit(std::move(next));
+    }
+    if (keeper.restart_unseen) {
+      Change(m, emit, [&](Model& next) {
+        next.keepers[i].restart_unseen = false;
+        ForgetKeeper(next.guard, Name(i));
+      });
+    }
+    if (m.suspicions_left > 0) {
+      Change(m, emit, [&](Model& next) {
+        --next.suspicions_left;
+        SetKeepers(next.guard, {Name(1 - i)}, AllKeepers());
+      });
+    }
+    if (m.guard.keepers.size() < kKeepers) {
+      Change(m, emit, [](Model& next) { SetKeepers(next.guard, AllKeepers(), AllKeepers()); });
+    }
+  }
+
+  void ExpandMessages(const Model& m, size_t i, const Emit& emit) {
+    const Keeper& keeper = m.keepers[i];
+    if (keeper.promise) {
+      Model next = m;
+      next.keepers[i].floor = std::max(keeper.floor, *keeper.promise);
+      next.keepers[i].ack = keeper.promise;
+      next.keepers[i].promise.reset();
+      emit(std::move(next));
+    }
+    if (keeper.ack) {
+      Change(m, emit, [&](Model& next) {
+        next.keepers[i].ack.reset();
+        RecordPromiseAck(next.guard, Name(i), *keeper.ack);
+      });
+    }
+    // A node that has not started asks all the time.
+    if (!m.guard.serving) {
+      Model next = m;
+      next.keepers[i].reply = Reply{keeper.floor, keeper.in_force, keeper.newly_started};
+      emit(std::move(next));
+    }
+    if (keeper.reply) {
+      Change(m, emit, [&](Model& next) {
+        next.keepers[i].reply.reset();
+        RecordFloorReply(next.guard, Name(i), keeper.reply->floor, keeper.reply->version,
+                         keeper.reply->newly_started);
+      });
+    }
+  }
+
+  // Changes what a knows and lets it decide.
+  void Change(const Model& m, const Emit& emit, const std::function<void(Model&)>& change) {
+    Model next = m;
+    change(next);
+    for (auto& [name, keeper] : next.guard.keeper_states) {
+      keeper.next_message_ms = 0;
+      keeper.repeat_ms = 0;
+      keeper.promise_sent = 0;
+    }
+    GuardActions actions = m_rule(next.guard);
+    for (const std::string& name : actions.promise_to) {
+      next.keepers[name == "b" ? 0 : 1].promise = actions.promise_version;
+    }
+    if (actions.in_force_changed && next.guard.in_force > next.highest_in_force) {
+      next.highest_in_force = next.guard.in_force;
+    }
+    emit(std::move(next));
+  }
+
+  int m_restarts;
+  int m_suspicions;
+  GuardRule m_rule;
+};
+
+GuardActions SourceRule(GuardState& guard) { return StepGuard(guard, kNow); }
+
+TEST(VersionGuardExploration, NoNodeGoesBackWithTwoRestarts) {
+  ExplorationResult result = Exploration(2, 0, SourceRule).Run();
+  std::cout << "restarts=2 suspicions=0 states=" << result.states << '\n';
+  EXPECT_FALSE(result.violation) << *result.violation;
+  EXPECT_TRUE(result.complete);
+}
+
+TEST(VersionGuardExploration, NoNodeGoesBackWithARestartAndASuspicion) {
+  ExplorationResult result = Exploration(1, 1, SourceRule).Run();
+  std::cout << "restarts=1 suspicions=1 states=" << result.states << '\n';
+  EXPECT_FALSE(result.violation) << *result.violation;
+  EXPECT_TRUE(result.complete);
+}
+
+TEST(VersionGuardExploration, FindsAVersionInForceWithoutPromises) {
+  GuardRule mutant = [](GuardState& guard) {
+    for (const std::string& keeper : guard.keepers) {
+      if (guard.serving) RecordPromiseAck(guard, keeper, guard.held);
+    }
+    return StepGuard(guard, kNow);
+  };
+  ExplorationResult result = Exploration(1, 0, mutant).Run();
+  ASSERT_TRUE(result.violation);
+  EXPECT_EQ(*result.violation, "a node went back");
+}
+
+TEST(VersionGuardExploration, FindsAStartWithoutTheKeepersAnswers) {
+  GuardRule mutant = [](GuardState& guard) {
+    for (const std::string& keeper : guard.keepers) guard.keeper_states[keeper].answered = true;
+    return StepGuard(guard, kNow);
+  };
+  ExplorationResult result = Exploration(1, 0, mutant).Run();
+  ASSERT_TRUE(result.violation);
+  EXPECT_EQ(*result.violation, "a node went back");
+}
+
+}  // namespace
+}  // namespace guavatrail
