Let parts of a fleet meet again without losing neighbours

Cause: after a cut both sides hold each other's nodes dead. Merging the other side's table made a node see its own living neighbours dead until their refutations arrived. A node that left right after joining had no connected neighbours yet, so its leave was found as a death only. Change: in an exchange of tables a death counts as a suspicion of a member held to be alive, the own name excepted; such suspicions are flooded. A leave is sent to the neighbours of the current member list, over new connections if needed.

--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -152,16 +152,23 @@
   if (m_is_leaving) return;
   m_is_leaving = true;
   m_joiner.Stop();
+  // The node may have joined so recently that its neighbours are not yet connected.
+  if (!m_table.IsInConflict()) {
+    m_neighbours = Overlay(m_table.LiveNames(), static_cast<int>(m_settings.membership.rings))
+                       .Neighbours(m_settings.node.name);
+  }
   m_table.LeaveSelf(NowMs());
   m_heartbeat_timer.Cancel();
   m_tick_timer.Cancel();
   m_refresh_timer.Cancel();
   m_open_timer.Cancel();
-  if (!m_table.IsInConflict()) SendNews();
   // Messages to one node arrive in order, so an acknowledged heartbeat shows that the news before
   // it has arrived.
   m_unacknowledged.insert(m_neighbours.begin(), m_neighbours.end());
-  for (const std::string& node : m_neighbours) SendHeartbeat(node);
+  for (const std::string& node : m_neighbours) {
+    SendRecord(node, m_settings.node.name);
+    SendHeartbeat(node);
+  }
   m_leave_timer.Start(milliseconds(m_unacknowledged.empty() ? 0 : kLeaveMs));
 }
 
@@ -302,8 +309,10 @@
       auto record = m_table.Export(name, NowMs());
       auto source = m_news_sources.find(name);
       bool came_from_it = source != m_news_sources.end() && source->second == node;
-      // Suspicions travel as reports with the name of the monitor.
-      if (!record || came_from_it || record->state() == pb::MEMBER_SUSPECT) continue;
+      // Suspicions by monitors travel as reports; others come from an exchange of tables.
+      bool is_reported =
+          record && record->state() == pb::MEMBER_SUSPECT && m_detector.HasReport(name);
+      if (!record || came_from_it || is_reported) continue;
       *message.mutable_member_news()->add_members() = std::move(*record);
       if (message.member_news().members_size() < static_cast<int>(kNewsBatch)) continue;
       m_transport.Send(node, message);
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -85,6 +85,7 @@
   void OnMemberNews(Sender from, const pb::MemberNews& news);
   void OnMemberDigests(Sender from, const pb::MemberDigests& digests);
   void Merge(Sender from, const pb::MemberRecord& record);
+  void OnMerged(Sender from, const pb::MemberRecord& record, MergeResult result);
   void OnReport(Sender from, const pb::MemberRecord& record, const std::string& reporter);
   bool SendTo(std::string_view node, const pb::ControlMessage& message);
   void SendToNeighbours(const pb::ControlMessage& message, std::string_view except);
--- a/src/control_plane_messages.cc
+++ b/src/control_plane_messages.cc
@@ -113,7 +113,7 @@
   if (!record) return;
   pb::ControlMessage message;
   *message.mutable_member_news()->add_members() = std::move(*record);
-  m_transport.Send(node, message);
+  SendTo(node, message);
 }
 
 void ControlPlane::OnJoinRequest(Sender from, const pb::JoinRequest& request) {
@@ -131,7 +131,9 @@
 
 void ControlPlane::OnMemberTable(Sender from, const pb::MemberTable& table) {
   bool is_first = !m_joiner.HasJoined() && table.buckets().empty();
-  for (const pb::MemberRecord& record : table.members()) Merge(from, record);
+  for (const pb::MemberRecord& record : table.members()) {
+    OnMerged(from, record, m_table.MergeExchanged(record, NowMs()));
+  }
   const pb::MemberRecord* sender = m_table.Find(from);
   if (sender != nullptr) {
     std::string address = sender->ip() + ":" + std::to_string(sender->control_port());
@@ -199,7 +201,11 @@
 }
 
 void ControlPlane::Merge(Sender from, const pb::MemberRecord& record) {
-  switch (m_table.Merge(record, NowMs())) {
+  OnMerged(from, record, m_table.Merge(record, NowMs()));
+}
+
+void ControlPlane::OnMerged(Sender from, const pb::MemberRecord& record, MergeResult result) {
+  switch (result) {
     case MergeResult::kInvalid: {
       m_invalid_records.Add();
       LOG_EVERY_T(WARNING, kLogPeriodS)
--- a/src/failure_detector.h
+++ b/src/failure_detector.h
@@ -57,6 +57,8 @@
   // A monitor reports a suspicion. True when the report is news that should be passed on: at most
   // the two first reports about a lifetime are.
   bool OnReport(const NodeLifetime& node, std::string_view reporter, int64_t now_ms);
+  // Whether a report about the node is open.
+  bool HasReport(std::string_view node) const { return m_suspicions.count(node) != 0; }
   // The node refuted, died, left or was forgotten.
   void ClearSuspicion(std::string_view node) { m_suspicions.erase(std::string(node)); }
   // Must be called at least once in each heartbeat period. When it was not, this process did not
--- a/src/member_table.cc
+++ b/src/member_table.cc
@@ -86,6 +86,20 @@
   return record.name() == m_self.name() ? MergeSelf(record, now_ms) : MergeEntry(record, now_ms);
 }
 
+MergeResult MemberTable::MergeExchanged(const pb::MemberRecord& record, int64_t now_ms) {
+  const pb::MemberRecord* known = Find(record.name());
+  // The own name is exempt: an accusation is refuted at once, and a process that lost its name
+  // learns by exchanges that the other holder is gone.
+  bool is_doubtful = record.state() == pb::MEMBER_DEAD && record.name() != m_self.name() &&
+                     known != nullptr && IsLive(*known) &&
+                     known->incarnation() == record.incarnation();
+  if (!is_doubtful) return Merge(record, now_ms);
+  pb::MemberRecord suspect = record;
+  suspect.set_state(pb::MEMBER_SUSPECT);
+  suspect.clear_gone_age_s();
+  return Merge(suspect, now_ms);
+}
+
 MergeResult MemberTable::MergeSelf(const pb::MemberRecord& record, int64_t now_ms) {
   bool is_own = record.started_ms() == m_self.started_ms();
   if (m_is_in_conflict) {
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -51,6 +51,10 @@
 
   // Commands. Merge() refutes accusations against this node unless it has left.
   MergeResult Merge(const pb::MemberRecord& record, int64_t now_ms);
+  // Merges a record from an exchange of tables. There a death counts only as a suspicion of a
+  // member that is held to be alive: when two parts of a fleet that declared each other dead meet
+  // again, nobody may lose its living neighbours until their refutations arrive.
+  MergeResult MergeExchanged(const pb::MemberRecord& record, int64_t now_ms);
   // Changes the state of a member if `incarnation` is its current one and the state is worse.
   bool Accuse(std::string_view name, uint64_t incarnation, pb::MemberStateCode state,
               int64_t now_ms);
--- a/test/correctness/two_processes_with_one_name_test.cc
+++ b/test/correctness/two_processes_with_one_name_test.cc
@@ -37,6 +37,14 @@
   }
 }
 
+TEST(TwoProcessesWithOneName, AnExchangeShowsThatTheOtherIsGone) {
+  MemberTable older(test::MakeMember("a", 100));
+  older.Merge(test::MakeMember("a", 200), kNowMs);
+  auto dead = test::MakeMember("a", 200, pb::MEMBER_DEAD);
+  EXPECT_EQ(older.MergeExchanged(dead, kNowMs), MergeResult::kRefuted);
+  EXPECT_FALSE(older.IsInConflict());
+}
+
 TEST(TwoProcessesWithOneName, EqualIncarnationsHaveOneHolder) {
   auto a = test::MakeMember("a", 200);
   auto b = test::MakeMember("a", 200);
