--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -86,6 +86,7 @@
   void OnMemberNews(Sender from, const pb::MemberNews& news);
   void OnMemberDigests(Sender from, const pb::MemberDigests& digests);
   void Merge(Sender from, const pb::MemberRecord& record);
+  void OnMerged(Sender from, const pb::MemberRecord& record, MergeResult result);
   void OnReport(Sender from, const pb::MemberRecord& record, const std::string& reporter);
   bool SendTo(std::string_view node, const pb::ControlMessage& message);
   bool OpenOnDemand(std::string_view node);
