Fix a dangling outcome in the answer to a repeated order

Cause: adding headers to the stored answer could move the outcome that was still referred to; found by the address sanitizer in OrdersAreRefusedForGood. Change: the outcome is copied first. Conclusion: repeats are answered from valid memory.

--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -212,11 +212,11 @@
     return;
   }
   OrderAnswer& answer = serial.error();
-  const std::string* outcome = FindHeader(answer.headers, kOutcomeHeader);
-  for (auto& [name, value] : NodeHeaders(*outcome, RequestIdOf(*request))) {
+  std::string outcome = *FindHeader(answer.headers, kOutcomeHeader);
+  for (auto& [name, value] : NodeHeaders(outcome, RequestIdOf(*request))) {
     SetHeader(answer.headers, name, value);
   }
-  m_metrics.GetCounter("order_repeats_total", "outcome=\"" + *outcome + "\"").Add();
+  m_metrics.GetCounter("order_repeats_total", "outcome=\"" + outcome + "\"").Add();
   m_replies.Reply(std::move(request), answer.status, answer.headers, answer.body);
 }
 
