--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -27,7 +27,7 @@
 struct EntryTry {
   std::string node;
   int64_t start_us = 0;
-  bool is_refused = false;  // The node said that it did not run the request.
+  bool is_refused = false;  // Not run there, or tried elsewhere instead: its body is dropped.
   bool is_ended = false;
   std::unique_ptr<PeerCall> peer;
 };
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -243,6 +243,7 @@
     if (call.work.mode == RunMode::kKeyed && !is_draining) call.tried.erase(t.node);
     return;
   }
+  if (IsShed(call, head) && MoveElsewhere(call, t)) return;
   call.is_answered = true;
   call.status = head.status;
   call.is_late = now_us > call.deadline_us;
@@ -259,6 +260,22 @@
   call.relay.Begin(t.peer->exchange(), head, head.headers);
 }
 
+// The server itself turned away a request that may be repeated.
+bool EntryProxy::IsShed(const EntryCall& call, const AnswerHead& head) {
+  return head.status == kHttpServiceUnavailable && call.work.mode == RunMode::kRepeatable;
+}
+
+// Starts a try on another server in place of `t`, whose answer is then dropped.
+bool EntryProxy::MoveElsewhere(EntryCall& call, EntryTry& t) {
+  if (call.tries_started >= kMaxTries) return false;
+  const Endpoint* server = m_picker.Pick(call.service, call.tried, false, EventLoop::NowUs());
+  if (server == nullptr || !m_picker.TakeRetry(call.service)) return false;
+  t.is_refused = true;
+  call.may_have_run = true;
+  m_metrics.GetCounter("retries_total", "kind=\"" + call.work.name + "\"").Add();
+  return StartTry(call, server);
+}
+
 void EntryProxy::EndTry(EntryCall& call, EntryTry& t) {
   t.is_ended = true;
   m_picker.Ended(t.node);
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -70,6 +70,8 @@
   void PlanHedge(EntryCall& call);
   UpstreamRequest RequestFor(const EntryCall& call, const Endpoint& server) const;
   void OnHead(EntryCall& call, EntryTry& t, const AnswerHead& head);
+  static bool IsShed(const EntryCall& call, const AnswerHead& head);
+  bool MoveElsewhere(EntryCall& call, EntryTry& t);
   void OnDone(EntryCall& call, EntryTry& t, ExchangeEnd end);
   void OnRefused(EntryCall& call);
   void Retry(EntryCall& call);
--- a/test/correctness/entry_node_forwards_calls_test.cc
+++ b/test/correctness/entry_node_forwards_calls_test.cc
@@ -101,6 +101,45 @@
   EXPECT_GE(broken.requests.size(), 1U);
 }
 
+TEST_F(EntryNodeForwardsCalls, ALookupThatAServerShedsIsTriedElsewhere) {
+  auto shed = [](FakeConnection& c, const std::string&) { c.Send(Answer(503, "busy")); };
+  Server& shedding = AddServer(shed);
+  AddServer(AnswerOk);
+  Start();
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(Ask("GET", "/pecas/1")->status(), 200);
+  EXPECT_GE(shedding.requests.size(), 1U);
+  // What may not be repeated keeps the answer of its server.
+  m_endpoints.pop_back();
+  PublishEndpoints();
+  EXPECT_EQ(Ask("POST", "/notes/1")->body(), "busy");
+  EXPECT_EQ(Ask("GET", "/pecas/1")->body(), "busy");
+}
+
+TEST_F(EntryNodeForwardsCalls, ALookupThatIsSlowIsHedgedAndTheLoserCancelled) {
+  FakeConnection* hung = nullptr;
+  bool hang_next = false;
+  auto handler = [&](FakeConnection& c, const std::string&) {
+    if (hang_next) {
+      hang_next = false;
+      hung = &c;
+    } else {
+      c.Send(Answer(200, "spring"));
+    }
+  };
+  AddServer(handler);
+  AddServer(handler);
+  m_hedge_budget = 1.0;
+  Start();
+  // Enough calls to know the usual latency.
+  for (int i = 0; i < 50; ++i) ASSERT_EQ(Ask("GET", "/pecas/1")->status(), 200);
+  hang_next = true;
+  auto client = Ask("GET", "/pecas/1");
+  EXPECT_EQ(client->body(), "spring");
+  ASSERT_NE(hung, nullptr);
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return hung->peer_closed(); }));
+  EXPECT_EQ(m_outcomes.size(), 51U);
+}
+
 TEST_F(EntryNodeForwardsCalls, AnAnswerCutOnItsWayIsCutForTheCaller) {
   FakeConnection* connection = nullptr;
   AddServer([&](FakeConnection& c, const std::string&) {
--- a/test/error/downstream_request_survives_odd_callers_test.cc
+++ b/test/error/downstream_request_survives_odd_callers_test.cc
@@ -80,5 +80,20 @@
   EXPECT_EQ(whole.status(), 200);
 }
 
+TEST_F(DownstreamRequestSurvivesOddCallers, ABodySentAfterAContinueIsRead) {
+  FakeServer server(m_loop,
+                    [&](FakeConnection& c, const std::string&) { c.Send(Answer(200, "")); });
+  RelayProxy proxy(m_loop, server.port());
+  FakeClient client(m_loop, proxy.port());
+  client.Send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client.status() == 100; }));
+  client.DropAnswer();
+  client.Send("abc");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client.HasWholeAnswer(); }));
+  EXPECT_EQ(client.status(), 200);
+  ASSERT_EQ(proxy.calls.size(), 1U);
+  EXPECT_EQ(*proxy.calls[0]->downstream->body(), "abc");
+}
+
 }  // namespace
 }  // namespace guavatrail
