--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -28,6 +28,7 @@
 #include "overlay.h"
 #include "platform_client.h"
 #include "random_source.h"
+#include "reply_watch.h"
 #include "settings.h"
 
 namespace guavatrail {
@@ -87,6 +88,7 @@
   void Merge(Sender from, const pb::MemberRecord& record);
   void OnReport(Sender from, const pb::MemberRecord& record, const std::string& reporter);
   bool SendTo(std::string_view node, const pb::ControlMessage& message);
+  bool OpenOnDemand(std::string_view node);
   void SendToNeighbours(const pb::ControlMessage& message, std::string_view except);
   void SendRecord(std::string_view node, std::string_view about);
 
@@ -120,6 +122,7 @@
   RandomSource& m_random;
   MemberTable m_table;
   FailureDetector m_detector;
+  ReplyWatch m_replies;
   Overlay m_overlay;
   ControlTransport m_transport;
   DeliveryAgent m_delivery;
@@ -136,14 +139,8 @@
     bool replace = false;
   };
   std::map<std::string, DueConnection> m_due_connections;
-  // Connections opened on demand; times in ms.
-  struct OnDemand {
-    int64_t used_ms = 0;
-    // First message sent since the last one from the node; 0: none.
-    int64_t unanswered_ms = 0;
-  };
-  std::map<std::string, OnDemand, std::less<>> m_on_demand;
-  // Opening times in ms of connections to contacts.
+  // Last use in ms of connections opened on demand, and opening times of contacts.
+  std::map<std::string, int64_t, std::less<>> m_on_demand;
   std::map<std::string, int64_t> m_contacts;
   // Nodes from which changed records came; they need not get them back.
   std::map<std::string, std::string> m_news_sources;
--- a/test/scenarios/fleet.py
+++ b/test/scenarios/fleet.py
@@ -99,10 +99,9 @@
     while len(order) < count:  # fleets above the sample size, for benchmarks
         order.append((list(services)[len(order) % len(services)], len(order) + 1))
     chosen = order[:count] if count else order
-    # The servers of each service are spread over the data centres.
-    shift = {service: i for i, service in enumerate(services)}
-    return [(service, number, region, f"{region}-{(shift[service] + number - 1) % centres + 1}")
-            for service, number in chosen]
+    # The offset of each round keeps the servers of a service in different data centres.
+    return [(service, number, region, f"{region}-{(i + i // len(services)) % centres + 1}")
+            for i, (service, number) in enumerate(chosen)]
 
 
 class Fleet:
