--- a/test/scenarios/run.py
+++ b/test/scenarios/run.py
@@ -1,7 +1,10 @@
 #!/usr/bin/env python3
 """Runs the scenarios in this folder over real processes on loopback.
 
-usage: run.py [--build DIR] [--filter TEXT] [--jobs N] [--list] [--keep DIR] [FILE...]
+usage: run.py [--build DIR] [--filter TEXT] [--jobs N] [--list] [--keep DIR]
+              [--set section.key=V] [FILE...]
+
+--set overrides a setting of all nodes, to run a scenario against a baseline.
 
 Prints a line for each scenario and a closing line `N passed, N failed`. Exits with 0 when all passed.
 The logs of a failed scenario stay in the folder that its line names.
@@ -22,11 +25,11 @@
 HERE = pathlib.Path(__file__).resolve().parent
 
 
-def run_one(path, build, base, slot):
-    directory = pathlib.Path(tempfile.mkdtemp(prefix=f"{path.stem}-", dir=base))
+def run_one(path, options, slot):
+    directory = pathlib.Path(tempfile.mkdtemp(prefix=f"{path.stem}-", dir=options.keep))
     # Runs at the same time, also by other users of the machine, use other addresses.
     net = (16 + os.getpid() % 200, 1 + slot % 100)
-    scenario, start, error = Scenario(build, directory, net), time.monotonic(), None
+    scenario, start, error = Scenario(options.build, directory, net, options.set), time.monotonic(), None
     line_number = 0
     try:
         for line_number, line in enumerate(path.read_text().splitlines(), 1):
@@ -55,6 +58,7 @@
     parser.add_argument("--filter", default="")
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--list", action="store_true")
+    parser.add_argument("--set", action="append", default=[], help="section.key=value")
     parser.add_argument("--keep", default=tempfile.gettempdir(), help="folder for logs")
     options = parser.parse_args()
     files = [f for f in options.files or sorted(HERE.glob("*.scenario"))
@@ -64,7 +68,7 @@
             print(path.stem + "\t" + path.read_text().splitlines()[0].lstrip("# "))
         return 0
     with ThreadPoolExecutor(options.jobs) as pool:
-        passed = sum(pool.map(lambda job: run_one(job[1], options.build, options.keep, job[0]),
+        passed = sum(pool.map(lambda job: run_one(job[1], options, job[0]),
                               enumerate(files)))
     print(f"{passed} passed, {len(files) - passed} failed")
     return 0 if files and passed == len(files) else 1
--- a/test/scenarios/steps.py
+++ b/test/scenarios/steps.py
@@ -62,8 +62,8 @@
 
 
 class Scenario:
-    def __init__(self, build, directory, net):
-        self.build, self.dir, self.net = build, directory, net
+    def __init__(self, build, directory, net, settings=()):
+        self.build, self.dir, self.net, self.settings = build, directory, net, settings
         self.fleet = self.monitor = None
         self.loads, self.orders, self.notes, self.counts = {}, {}, {}, {}
         self.wrong = []
@@ -147,6 +147,7 @@
 
     def do_mesh(self, words, options, _):
         overrides = {k: v for k, v in options.items() if "." in k and not k.startswith("server.")}
+        overrides.update(item.split("=", 1) for item in self.settings)
         server = [f"--{k[7:]}={v}" for k, v in options.items() if k.startswith("server.")]
         self.fleet = Fleet(self.build, self.dir, self.net, options.get("links") == "on", overrides,
                            server)
