--- a/test/scenarios/steps.py
+++ b/test/scenarios/steps.py
@@ -226,6 +226,8 @@
             faults = {"down": outages[state]}
         elif state == "lose-answers":
             faults = {"lose_write_answers": int(value or -1)}
+        elif state == "behind":
+            faults = {"behind": int(value)}
         elif state == "ok":
             faults = {}
         else:
@@ -343,6 +345,15 @@
             result = traffic.call(node.ip, words[0], f"call-{node.name}")
             self.check_result(f"call {words[0]} at {node.name}", result, options, conditions)
 
+    def do_hold(self, words, options, conditions):
+        """hold call /path for=D [via=NODES] [expect=...]: the result must hold at each moment."""
+        if words[0] != "call":
+            raise StepFailed(f"unknown hold {words[0]!r}")
+        end = time.monotonic() + duration(options["for"])
+        while time.monotonic() < end:
+            self.do_call(words[1:], options, conditions)
+            time.sleep(0.02)
+
     def check_result(self, what, result, options, conditions):
         expected = options.get("expect", "ok").split("|")
         if result.kind not in expected and str(result.status) not in expected:
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -6,4 +6,4 @@
 tools/build.sh build
 ctest --test-dir build --output-on-failure -j 8
 python3 test/scenarios/selftest.py
-python3 test/scenarios/run.py --jobs 3
+python3 test/scenarios/run.py --jobs 3 --known-red KNOWN-RED.txt
