Cut single ports and drain without membership news

Cause: with drain-without-news a mutant whose serving node ignores its own drain still passed, as the entry node heard of the drain over other neighbours.

--- a/test/scenarios/forwarder.py
+++ b/test/scenarios/forwarder.py
@@ -1,8 +1,8 @@
 """Forwards TCP connections between nodes and cuts or silences them on command.
 
 Started by the runner. The first line on stdin is JSON: {"nodes": {name: [real ip, advertised ip]},
-"ports": [...]}. Each later line is a command: `cut A B`, `silence A B` or `heal`. Each command is
-answered by one line. A connection's source is known by its address: a node binds its outgoing
+"ports": [...]}. Each later line is a command: `cut A B [port]`, `silence A B` or `heal`. Each
+command is answered by one line. A connection's source is known by its address: a node binds its outgoing
 connections to its real IP. A cut holds back bytes from A to B until `heal`, as lost packets that TCP
 sends again later do. Silence drops all further bytes from A to B on the connections that are open
 at that moment, for good, while later connections work.
@@ -36,12 +36,13 @@
 
     async def wait_until_whole(self, direction):
         async with self.changed:
-            await self.changed.wait_for(lambda: direction["pair"] not in self.cuts)
+            await self.changed.wait_for(lambda: not self.cuts & {
+                direction["pair"], (*direction["pair"], direction["port"])})
 
     async def accept(self, target, ip, port, reader, writer):
         source = self.names.get(writer.get_extra_info("peername")[0], "outside")
-        there = {"pair": (source, target), "silent": False}
-        back = {"pair": (target, source), "silent": False}
+        there = {"pair": (source, target), "port": port, "silent": False}
+        back = {"pair": (target, source), "port": port, "silent": False}
         # A handshake needs both directions.
         await self.wait_until_whole(there)
         await self.wait_until_whole(back)
@@ -56,7 +57,7 @@
 
     async def command(self, words):
         if words[0] == "cut":
-            self.cuts.add((words[1], words[2]))
+            self.cuts.add((*words[1:3], *map(int, words[3:])))
         elif words[0] == "silence":
             for direction in self.open:
                 if direction["pair"] == (words[1], words[2]):
--- a/test/scenarios/steps.py
+++ b/test/scenarios/steps.py
@@ -13,7 +13,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import traffic
-from fleet import ROOT, SERVER, Fleet, StepFailed, http_json, wait_until
+from fleet import ADMIN, CONTROL, PEER, ROOT, SERVER, Fleet, StepFailed, http_json, wait_until
 
 CONDITIONS = {">=": operator.ge, "<=": operator.le, "==": operator.eq, ">": operator.gt,
               "<": operator.lt}
@@ -197,8 +197,10 @@
             if http_json(node.ip, SERVER, "POST", "/faults", faults) is None:
                 raise StepFailed(f"the server of {node.name} did not accept {faults}")
 
-    def do_cut(self, words, _, __):
-        self.links("cut", words)
+    def do_cut(self, words, options, _):
+        """cut A -> B or A <-> B [port=control|peer|admin]"""
+        ports = {"control": CONTROL, "peer": PEER, "admin": ADMIN}
+        self.links("cut", words, f" {ports[options['port']]}" if "port" in options else "")
 
     def do_silence(self, words, _, __):
         self.links("silence", words)
@@ -206,15 +208,15 @@
     def do_heal(self, _, __, ___):
         self.fleet.forward("heal")
 
-    def links(self, command, words):
+    def links(self, command, words, port=""):
         arrow = words.index("->") if "->" in words else words.index("<->")
         for a in self.select(words[:arrow]):
             for b in self.select([w for w in words[arrow + 1:] if w != "one-way"]):
                 if a is b:
                     continue
-                self.fleet.forward(f"{command} {a.name} {b.name}")
+                self.fleet.forward(f"{command} {a.name} {b.name}{port}")
                 if words[arrow] == "<->":
-                    self.fleet.forward(f"{command} {b.name} {a.name}")
+                    self.fleet.forward(f"{command} {b.name} {a.name}{port}")
 
     def do_platform(self, words, options, _):
         state, value = words[0], (words[1:] or [None])[0]
