Let a node that has started trust only kept promises or a confirmed head

Cause: (1) a lone node served after one read of the head, which may be stale (scenario never-backward-alone, known red). (2) A keeper counted as knowing all promises 30 s after its start, so after a restart of a node and its keepers a stale read moved the node back: the exploration found it when all nodes restart (state 27,610). A shorter settling time was tried and did not hold either. Change: a keeper vouches for a node only if it has a promise of that node on record, and drops promises to its former lifetime. Without two such keepers the head is confirmed by a conditional write of the same bytes; replies to floor queries carry the age of a confirmation, so that a few watchers confirm for a whole fleet. With the platform stale or down, a node whose three keepers were restarted with it waits.

--- a/src/delivery_agent.cc
+++ b/src/delivery_agent.cc
@@ -7,6 +7,7 @@
 
 #include "config_store.h"
 #include "delivery.h"
+#include "head_confirmer.h"
 #include "head_watcher.h"
 #include "version_guard.h"
 
@@ -29,6 +30,15 @@
 constexpr int64_t kMembershipDelayMs = 20;
 constexpr int64_t kFirstFetchBackoffMs = 200;
 constexpr int64_t kLongestFetchBackoffMs = 5'000;
+// When nodes that start together without their keepers' answers have the head confirmed: first the
+// watchers, a few in each data centre, then the others, unless they have heard of a confirmation.
+// 550 conditional writes of one object at once would nearly all fail.
+constexpr int64_t kWatcherConfirmMs = 400;
+constexpr uint64_t kWatcherConfirmJitterMs = 400;
+constexpr int64_t kOtherConfirmMs = 3'000;
+constexpr uint64_t kOtherConfirmJitterMs = 4'000;
+// Bounds a peer's claim, so that it cannot overflow the arithmetic.
+constexpr uint64_t kMaxAgeMs = 1ULL << 40;
 constexpr int64_t kFirstBusyMs = 200;
 constexpr uint64_t kBusyJitterMs = 300;
 
@@ -46,6 +56,7 @@
 
   // Platform.
   void OnHead(const HeadObject& object);
+  void OnHeadConfirmed(uint64_t version, int64_t sent_ms);
   void FetchFromPlatform();
   void OnUpdates(tl::expected<TableUpdates, StoreError> updates);
   void PollIfDue(int64_t now_ms);
@@ -84,6 +95,9 @@
   std::string m_last_note;  // Id of the note at the held version; empty when not known.
 
   ConfigHead m_head;
+  HeadObject m_last_read;  // With the bytes that a confirmation writes again.
+  HeadConfirmer m_confirmer;
+  int64_t m_confirmed_ms = 0;  // The head was confirmed as current at this time or later; 0: never.
   int64_t m_head_current_ms;
   HeadWatcher m_watcher;
   int64_t m_poll_ms = INT64_MAX;   // When to read the head; INT64_MAX while it is not too old.
@@ -98,11 +112,13 @@
   NoteWindow m_window;
   SnapshotServer m_snapshots;
   std::map<std::string, uint64_t, std::less<>> m_announced;
-  std::map<std::string, uint64_t, std::less<>> m_incarnations;
+  // Start times (started_ms) of the members.
+  std::map<std::string, uint64_t, std::less<>> m_lifetimes;
   int64_t m_membership_ms = 0;  // When to look at the membership; INT64_MAX while nothing changed.
 
   GuardState m_guard;
-  uint64_t m_floor_request_id;
+  const uint64_t m_floor_request_id;
+  const uint64_t m_confirm_jitter;
   PromiseBook m_promises;
   int64_t m_guard_next_ms = 0;
 
@@ -124,6 +140,9 @@
       m_ports(std::move(ports)),
       m_watch_all(settings.delivery.mode == "watch_all"),
       m_relay(settings.delivery.mode == "relay"),
+      m_confirmer(platform,
+                  {[this](uint64_t version, int64_t sent_ms) { OnHeadConfirmed(version, sent_ms); },
+                   [this] { m_watcher.ReadOnce(); }, [] {}}),
       m_head_current_ms(NowMs() - kUnknownHeadAgeMs),
       m_watcher(loop, platform, random, metrics, settings.platform.watch_ms,
                 {[this](const HeadObject& head) { OnHead(head); },
@@ -138,7 +157,7 @@
       m_pulls(settings.delivery.pull_timeout_ms),
       m_request_id(random.Next()),
       m_floor_request_id(random.Next()),
-      m_promises(NowMs()),
+      m_confirm_jitter(random.Next()),
       m_timer(loop, [this] { Step(); }),
       m_start(loop, [this] { m_watcher.ReadOnce(); }) {
   m_guard.start_ms = NowMs();
@@ -151,6 +170,7 @@
 
 void DeliveryAgent::Impl::OnHead(const HeadObject& object) {
   m_head_current_ms = NowMs();
+  m_last_read = object;
   RecordHead(m_guard, object.head.version);
   if (object.head.version >= m_head.version) m_head = object.head;
   bool behind = m_head.version > m_held->version();
@@ -163,6 +183,12 @@
   Step();
 }
 
+void DeliveryAgent::Impl::OnHeadConfirmed(uint64_t version, int64_t sent_ms) {
+  m_confirmed_ms = std::max(m_confirmed_ms, sent_ms);
+  RecordConfirmedHead(m_guard, version);
+  Step();
+}
+
 void DeliveryAgent::Impl::FetchIfDue(int64_t now_ms) {
   if (m_head.version <= m_held->version()) {
     m_fetch_ms = INT64_MAX;
@@ -343,7 +369,8 @@
 
 void DeliveryAgent::Impl::OnVersionPromise(std::string_view node,
                                            const pb::VersionPromise& promise) {
-  m_promises.Record(node, promise.version(), NowMs());
+  if (promise.keeper_started_ms() != m_incarnation) return;
+  m_promises.Record(node, promise.version());
   pb::ControlMessage message;
   message.mutable_promise_ack()->set_version(promise.version());
   m_ports.send(node, message);
@@ -355,12 +382,29 @@
   reply->set_request_id(query.request_id());
   reply->set_floor(m_promises.Floor(node));
   reply->set_version(m_in_force == nullptr ? 0 : m_in_force->version());
-  reply->set_newly_started(!m_promises.KnowsAllPromisesOf(node, NowMs()));
+  if (m_confirmed_ms != 0 && m_guard.confirmed) {
+    reply->set_is_head_confirmed(true);
+    reply->set_confirmed_version(*m_guard.confirmed);
+    reply->set_confirmed_age_ms(static_cast<uint64_t>(NowMs() - m_confirmed_ms));
+  }
+  reply->set_newly_started(!m_promises.KnowsPromisesOf(node));
   m_ports.send(node, message);
 }
 
 void DeliveryAgent::Impl::OnFloorReply(std::string_view node, const pb::FloorReply& reply) {
-  if (reply.request_id() != m_floor_request_id) return;
+  // The id tells how long after the start of this lifetime the query was sent.
+  auto sent_after_ms = static_cast<int64_t>(reply.request_id() - m_floor_request_id);
+  int64_t lifetime_ms = NowMs() - m_guard.start_ms;
+  if (sent_after_ms < 0 || sent_after_ms > lifetime_ms) return;
+  // The replier counted the age after the query was sent, so the confirmation is at least this
+  // young; it counts if it was made in this lifetime.
+  int64_t confirmed_ms =
+      m_guard.start_ms + sent_after_ms -
+      static_cast<int64_t>(std::min<uint64_t>(reply.confirmed_age_ms(), kMaxAgeMs));
+  if (reply.is_head_confirmed() && confirmed_ms >= m_guard.start_ms) {
+    m_confirmed_ms = std::max(m_confirmed_ms, confirmed_ms);
+    RecordConfirmedHead(m_guard, reply.confirmed_version());
+  }
   m_pulls.RecordTold(node, reply.version());
   RecordFloorReply(m_guard, node, reply.floor(), reply.version(), reply.newly_started());
 }
@@ -408,31 +452,39 @@
   const NodeSettings& self = m_settings.node;
   std::vector<pb::MemberRecord> members = m_ports.members();
   for (const pb::MemberRecord& member : members) {
-    uint64_t& incarnation = m_incarnations[member.name()];
-    if (incarnation != 0 && incarnation != member.incarnation()) {
+    uint64_t& lifetime = m_lifetimes[member.name()];
+    if (lifetime != 0 && lifetime != member.started_ms()) {
       ForgetKeeper(m_guard, member.name());
       m_announced.erase(member.name());
       m_pulls.Forget(member.name());
     }
-    incarnation = member.incarnation();
+    lifetime = member.started_ms();
   }
   auto watchers = static_cast<size_t>(m_settings.delivery.watchers_per_data_centre);
   Roles roles = ChooseRoles(members, {self.name, self.data_centre}, watchers);
   m_pulls.Retain(roles.reachable);
   SetKeepers(m_guard, std::move(roles.keepers), std::move(roles.floor_keepers));
   m_watcher.SetWatching(m_watch_all || roles.is_watcher);
+  m_guard.timing.confirm_after_ms =
+      roles.is_watcher ? kWatcherConfirmMs + m_confirm_jitter % kWatcherConfirmJitterMs
+                       : kOtherConfirmMs + m_confirm_jitter % kOtherConfirmJitterMs;
 }
 
 void DeliveryAgent::Impl::StepVersionGuard(int64_t now_ms) {
   GuardActions actions = StepGuard(m_guard, now_ms);
   m_guard_next_ms = actions.next_ms;
   pb::ControlMessage query;
-  query.mutable_floor_query()->set_request_id(m_floor_request_id);
+  query.mutable_floor_query()->set_request_id(m_floor_request_id +
+                                              static_cast<uint64_t>(now_ms - m_guard.start_ms));
   for (const std::string& node : actions.query) m_ports.send(node, query);
   pb::ControlMessage promise;
   promise.mutable_version_promise()->set_incarnation(m_incarnation);
   promise.mutable_version_promise()->set_version(actions.promise_version);
-  for (const std::string& node : actions.promise_to) m_ports.send(node, promise);
+  for (const std::string& node : actions.promise_to) {
+    promise.mutable_version_promise()->set_keeper_started_ms(m_lifetimes[node]);
+    m_ports.send(node, promise);
+  }
+  if (actions.confirm_head) m_confirmer.Confirm(m_last_read);
   if (!actions.in_force_changed) return;
   m_in_force = m_held;
   LOG(INFO) << "event=version_in_force version=" << m_in_force->version()
--- a/src/version_guard.cc
+++ b/src/version_guard.cc
@@ -56,6 +56,16 @@
   }
 }
 
+void PlanConfirmation(GuardState& guard, int64_t now_ms, GuardActions& actions) {
+  if (guard.confirmed || !guard.head) return;
+  int64_t due_ms = std::max(guard.next_confirm_ms, guard.start_ms + guard.timing.confirm_after_ms);
+  if (now_ms >= due_ms) {
+    actions.confirm_head = true;
+    due_ms = guard.next_confirm_ms = now_ms + guard.timing.confirm_repeat_ms;
+  }
+  actions.next_ms = std::min(actions.next_ms, due_ms);
+}
+
 void SendPromises(GuardState& guard, uint64_t version, int64_t now_ms, GuardActions& actions) {
   actions.promise_version = version;
   for (const std::string& name : guard.keepers) {
@@ -94,6 +104,11 @@
   guard.platform_reachable = true;
 }
 
+void RecordConfirmedHead(GuardState& guard, uint64_t version) {
+  RecordHead(guard, version);
+  guard.confirmed = std::max(guard.confirmed.value_or(0), version);
+}
+
 void RecordPlatformFailure(GuardState& guard) { guard.platform_reachable = false; }
 
 void RecordPeerVersion(GuardState& guard, uint64_t version) {
@@ -115,15 +130,12 @@
   RecordPeerVersion(guard, version);
 }
 
-bool MayStart(const GuardState& guard, int64_t now_ms) {
+bool MayStart(const GuardState& guard) {
   if (guard.held < guard.highest_floor || guard.held < guard.highest_told) return false;
-  if (guard.head) {
-    if (guard.held < *guard.head) return false;
-    if (guard.keepers.empty()) return now_ms - guard.start_ms >= guard.timing.lone_start_ms;
-    size_t answered = Count(guard, guard.keepers, [](const KeeperState& k) { return k.answered; });
-    return answered >= KeeperQuorum(guard.keepers.size());
-  }
-  if (guard.platform_reachable || guard.floor_keepers.empty()) return false;
+  if (guard.head && guard.held < *guard.head) return false;
+  if (guard.confirmed) return guard.held >= *guard.confirmed;
+  bool is_platform_known = guard.head.has_value() || !guard.platform_reachable;
+  if (!is_platform_known || guard.floor_keepers.empty()) return false;
   size_t answered = Count(guard, guard.floor_keepers,
                           [](const KeeperState& k) { return k.answered && !k.newly_started; });
   return answered >= KeeperQuorum(guard.floor_keepers.size());
@@ -131,10 +143,9 @@
 
 GuardActions StepGuard(GuardState& guard, int64_t now_ms) {
   GuardActions actions;
-  if (!guard.serving && !MayStart(guard, now_ms)) {
+  if (!guard.serving && !MayStart(guard)) {
     QueryFloors(guard, now_ms, actions);
-    int64_t lone_end_ms = guard.start_ms + guard.timing.lone_start_ms;
-    if (now_ms < lone_end_ms) actions.next_ms = std::min(actions.next_ms, lone_end_ms);
+    PlanConfirmation(guard, now_ms, actions);
     return actions;
   }
   bool wants_change = !guard.serving || guard.held > guard.in_force;
@@ -148,20 +159,14 @@
   return actions;
 }
 
-void PromiseBook::Record(std::string_view node, uint64_t version, int64_t now_ms) {
-  Entry& entry = m_entries.try_emplace(std::string(node), Entry{0, now_ms}).first->second;
-  entry.floor = std::max(entry.floor, version);
+void PromiseBook::Record(std::string_view node, uint64_t version) {
+  uint64_t& floor = m_floors.try_emplace(std::string(node), 0).first->second;
+  floor = std::max(floor, version);
 }
 
 uint64_t PromiseBook::Floor(std::string_view node) const {
-  auto it = m_entries.find(node);
-  return it == m_entries.end() ? 0 : it->second.floor;
-}
-
-bool PromiseBook::KnowsAllPromisesOf(std::string_view node, int64_t now_ms) const {
-  if (!IsNewlyStarted(now_ms)) return true;
-  auto it = m_entries.find(node);
-  return it != m_entries.end() && now_ms - it->second.first_ms >= kSettledMs;
+  auto it = m_floors.find(node);
+  return it == m_floors.end() ? 0 : it->second;
 }
 
 }  // namespace guavatrail
--- a/src/version_guard.h
+++ b/src/version_guard.h
@@ -5,12 +5,13 @@
 // Before a version goes in force, a quorum of the node's keepers has acknowledged a promise of it.
 // A node that has started asks its keepers for the floor, the highest version promised to them, and
 // serves once one of these holds:
-//  (a) it has read the head from the platform in this lifetime, holds at least that version, and a
-//      quorum of its alive keepers has answered;
-//  (b) the platform is unreachable, and a quorum of its keepers, none of them newly started, has
-//      answered;
-// and it holds at least each floor and each version in force that a peer has told. The keepers'
-// answers in (a) guard against a stale read of the head.
+//  (a) it has read the head from the platform in this lifetime or cannot reach the platform, and a
+//      quorum of its keepers, none of them newly started, has answered;
+//  (b) the head has been confirmed as current since the node started, by a conditional write of
+//  this
+//      node or of one that told it;
+// and it holds at least each head, floor and version in force that it knows. A head that was only
+// read is not enough, since the read may be stale and all keepers may have been restarted.
 #pragma once
 
 #include <cstdint>
@@ -29,9 +30,12 @@
   // the first repetition after 1 s, and that must come well within the 6 s in which a version goes
   // in force.
   int64_t longest_repeat_ms = 600;
-  // A node that knows no other member waits this long for the membership before it relies on the
-  // platform alone.
-  int64_t lone_start_ms = 1'000;
+  // Without the answers of its keepers the node has the head confirmed this long after its start.
+  // Nodes that start together choose different times, so that most hear of a confirmation by
+  // others.
+  int64_t confirm_after_ms = 1'000;
+  // A confirmation that did not succeed is tried again.
+  int64_t confirm_repeat_ms = 500;
 };
 
 // The state of one lifetime.
@@ -40,18 +44,20 @@
   int64_t start_ms = 0;
   // Nodes to promise to: the chosen keepers among the alive members.
   std::vector<std::string> keepers;
-  // Nodes whose floors matter in case (b): the chosen keepers among all members that have not left,
+  // Nodes whose floors matter in case (a): the chosen keepers among all members that have not left,
   // since a keeper that is only unreachable may hold the highest promise.
   std::vector<std::string> floor_keepers;
 
   std::optional<uint64_t> head;  // Highest version read from the platform in this lifetime.
+  // Highest head that was current at some time in this lifetime.
+  std::optional<uint64_t> confirmed;
   bool platform_reachable = true;
   uint64_t highest_floor = 0;
   uint64_t highest_told = 0;  // By any peer, of its own version.
   struct KeeperState {
     uint64_t acknowledged = 0;   // Highest version that the keeper is known to have on record.
     bool answered = false;       // The keeper has answered the floor query.
-    bool newly_started = false;  // The keeper may not know all promises.
+    bool newly_started = false;  // The keeper may have forgotten promises.
     int64_t next_message_ms = 0;
     int64_t repeat_ms = 0;
     uint64_t promise_sent = 0;  // Version of the last promise.
@@ -62,6 +68,7 @@
   uint64_t held = 0;  // Version of the newest complete table.
   bool serving = false;
   uint64_t in_force = 0;
+  int64_t next_confirm_ms = 0;
 };
 
 // Keepers needed of `count`: 2 of 3, all of fewer.
@@ -73,6 +80,7 @@
 void ForgetKeeper(GuardState& guard, std::string_view keeper);
 void RecordHeld(GuardState& guard, uint64_t version);
 void RecordHead(GuardState& guard, uint64_t version);
+void RecordConfirmedHead(GuardState& guard, uint64_t version);
 void RecordPlatformFailure(GuardState& guard);
 void RecordPeerVersion(GuardState& guard, uint64_t version);
 void RecordPromiseAck(GuardState& guard, std::string_view keeper, uint64_t version);
@@ -80,13 +88,14 @@
                       bool newly_started);
 
 // Whether the node may begin to serve the version it holds, apart from promises.
-bool MayStart(const GuardState& guard, int64_t now_ms);
+bool MayStart(const GuardState& guard);
 
 struct GuardActions {
   std::vector<std::string> query;       // Ask these for the floor.
   std::vector<std::string> promise_to;  // Promise `promise_version` to these.
   uint64_t promise_version = 0;
   bool in_force_changed = false;  // guard.in_force is to be put in force now.
+  bool confirm_head = false;      // The head as read is to be confirmed by a conditional write.
   // When to call again if nothing happens before.
   int64_t next_ms = INT64_MAX;
 };
@@ -97,28 +106,14 @@
 // The promises that a node keeps for others.
 class PromiseBook {
  public:
-  // After this time all nodes have noticed that the keeper was restarted and have promised again.
-  static constexpr int64_t kNewlyStartedMs = 30'000;
-
-  explicit PromiseBook(int64_t start_ms) : m_start_ms(start_ms) {}
-  // Time after which repeated promises have replaced any older one that was still on its way when
-  // the keeper was started.
-  static constexpr int64_t kSettledMs = 5'000;
-
-  void Record(std::string_view node, uint64_t version, int64_t now_ms);
-  // Whether the floor of `node` covers all promises that it has made to this keeper. A node repeats
-  // its promise to a keeper that was restarted, so a settled record is as good as a long lifetime.
-  bool KnowsAllPromisesOf(std::string_view node, int64_t now_ms) const;
+  void Record(std::string_view node, uint64_t version);
+  // Whether the floor of `node` counts: a keeper without a record may have forgotten promises of a
+  // former lifetime of the node, however long it has been running.
+  bool KnowsPromisesOf(std::string_view node) const { return m_floors.contains(node); }
   uint64_t Floor(std::string_view node) const;
-  bool IsNewlyStarted(int64_t now_ms) const { return now_ms - m_start_ms < kNewlyStartedMs; }
 
  private:
-  int64_t m_start_ms;
-  struct Entry {
-    uint64_t floor = 0;
-    int64_t first_ms = 0;
-  };
-  std::map<std::string, Entry, std::less<>> m_entries;
+  std::map<std::string, uint64_t, std::less<>> m_floors;
 };
 
 }  // namespace guavatrail
--- /dev/null
+++ b/test/correctness/keeper_vouches_only_with_a_record_test.cc
@@ -0,0 +1,21 @@
+// Guards against a keeper that vouches for a floor although it was restarted after the promise.
+#include <gtest/gtest.h>
+
+#include "version_guard.h"
+
+namespace guavatrail {
+namespace {
+
+TEST(KeeperVouchesOnlyWithARecord, AndKeepsTheHighestPromise) {
+  PromiseBook book;
+  EXPECT_FALSE(book.KnowsPromisesOf("a"));
+  book.Record("a", 5);
+  book.Record("a", 3);
+  EXPECT_TRUE(book.KnowsPromisesOf("a"));
+  EXPECT_EQ(book.Floor("a"), 5u);
+  EXPECT_FALSE(book.KnowsPromisesOf("b"));
+  EXPECT_EQ(book.Floor("b"), 0u);
+}
+
+}  // namespace
+}  // namespace guavatrail
--- a/test/support/agent_mesh.h
+++ b/test/support/agent_mesh.h
@@ -134,6 +134,7 @@
       record.set_name(node->name);
       record.set_data_centre(node->data_centre);
       record.set_incarnation(node->incarnation);
+      record.set_started_ms(node->incarnation);
       record.set_state(node->state);
       members.push_back(std::move(record));
     }
