--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -101,7 +101,7 @@
   auto& open = client->m_open;
   open.erase(std::remove(open.begin(), open.end(), this), open.end());
   std::unique_ptr<Request> self(this);
-  if (connection != nullptr) evhttp_connection_free_on_completion(connection);
+  if (connection != nullptr) client->Discard(connection);
   self->done(std::move(result));
 }
 
@@ -139,18 +139,31 @@
 }
 
 PlatformClient::PlatformClient(EventLoop& loop, Options options)
-    : m_loop(loop), m_options(std::move(options)) {}
+    : m_loop(loop),
+      m_options(std::move(options)),
+      m_free_discarded(loop, [this] { FreeDiscarded(); }) {}
 
 PlatformClient::~PlatformClient() {
   std::vector<Request*> open;
   open.swap(m_open);
   for (Request* request : open) {
-    // Freeing a connection would call the handler of its request; take the handler away first.
-    request->done = [](tl::expected<Reply, PlatformError>) {};
-    evhttp_connection* connection = request->connection;
-    request->connection = nullptr;
-    evhttp_connection_free(connection);
+    // libevent frees the requests of a connection without calling their handlers.
+    std::unique_ptr<Request> owned(request);
+    evhttp_connection_free(owned->connection);
   }
+  FreeDiscarded();
+}
+
+// evhttp_connection_free_on_completion has no effect once the callback of the last request runs,
+// and none at all when the connection was refused.
+void PlatformClient::Discard(evhttp_connection* connection) {
+  m_discarded.push_back(connection);
+  m_free_discarded.Start(std::chrono::microseconds(0));
+}
+
+void PlatformClient::FreeDiscarded() {
+  for (evhttp_connection* connection : m_discarded) evhttp_connection_free(connection);
+  m_discarded.clear();
 }
 
 void PlatformClient::Send(std::unique_ptr<Request> request) {
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -12,6 +12,8 @@
 
 #include "event_loop.h"
 
+struct evhttp_connection;
+
 namespace guavatrail {
 
 // An object as read: its value and the version that conditional updates refer to.
@@ -74,12 +76,17 @@
   struct Request;
   struct Reply;
   void Send(std::unique_ptr<Request> request);
+  // Frees a connection whose request has ended, outside the request's callback.
+  void Discard(evhttp_connection* connection);
+  void FreeDiscarded();
 
   EventLoop& m_loop;
   Options m_options;
   uint64_t m_calls = 0;
   // Open requests; shared with their callbacks so that the destructor can drop them.
   std::vector<Request*> m_open;
+  std::vector<evhttp_connection*> m_discarded;
+  Timer m_free_discarded;
 };
 
 }  // namespace guavatrail
--- a/test/correctness/publish_exploration_test.cc
+++ b/test/correctness/publish_exploration_test.cc
@@ -33,6 +33,7 @@
     ConfigTable table;
     std::vector<std::string> log;  // Ids with digests.
     bool is_whole = false;         // The table is that of the head's digest.
+    bool has_id_twice = false;
   };
   std::vector<Entry> entries;
   std::map<std::string, int> by_bytes;
@@ -42,7 +43,13 @@
     if (inserted) {
       Entry entry{head, table, {}};
       entry.is_whole = DigestOf(EncodeTable(table)) == head.table_digest;
-      for (const LogEntry& e : head.tail) entry.log.push_back(e.note_id + "-" + e.digest);
+      std::vector<std::string> ids;
+      for (const LogEntry& e : head.tail) {
+        entry.log.push_back(e.note_id + "-" + e.digest);
+        ids.push_back(e.note_id);
+      }
+      std::sort(ids.begin(), ids.end());
+      entry.has_id_twice = std::adjacent_find(ids.begin(), ids.end()) != ids.end();
       entries.push_back(std::move(entry));
     }
     return it->second;
@@ -59,9 +66,26 @@
 enum class Phase { kReadFirst, kClaim, kRead, kWrite, kDone };
 enum class Outcome { kNone, kAccepted, kRefused, kUnknown };
 
+// A progress that states share, with the part of the key of a state that stands for it.
+struct SharedProgress {
+  PublishProgress progress;
+  std::string key;
+};
+
+std::shared_ptr<const SharedProgress> Share(PublishProgress progress) {
+  std::string key;
+  for (uint64_t value : {progress.base_version, progress.checked_version, uint64_t{progress.fenced},
+                         progress.unanswered ? *progress.unanswered + 1 : 0,
+                         progress.known_object_version, static_cast<uint64_t>(progress.rebases)}) {
+    key += std::to_string(value) + ",";
+  }
+  for (const LogEntry& entry : progress.meanwhile) key += entry.note_id + ",";
+  return std::make_shared<const SharedProgress>(SharedProgress{std::move(progress), key});
+}
+
 struct Operator {
   Phase phase = Phase::kReadFirst;
-  PublishProgress progress;
+  std::shared_ptr<const SharedProgress> shared;  // Null before the first read and when done.
   int update_head = -1;
   uint64_t update_expected = 0;
   bool update_is_fence = false;
@@ -83,7 +107,12 @@
 class Exploration {
  public:
   Exploration(std::array<ReleaseNote, 2> notes, Rules rules)
-      : m_notes(std::move(notes)), m_rules(std::move(rules)) {}
+      : m_notes(std::move(notes)), m_rules(std::move(rules)) {
+    for (size_t i = 0; i < m_notes.size(); ++i) {
+      LogEntry entry = EntryFor(m_notes[i]);
+      m_identities[i] = entry.note_id + "-" + entry.digest;
+    }
+  }
 
   ExplorationResult Run() {
     Model initial;
@@ -128,15 +157,7 @@
             static_cast<int64_t>(op.update_expected), static_cast<int64_t>(op.update_is_fence)}) {
         add(value);
       }
-      const PublishProgress& p = op.progress;
-      for (int64_t value :
-           {static_cast<int64_t>(p.base_version), static_cast<int64_t>(p.checked_version),
-            static_cast<int64_t>(p.fenced),
-            static_cast<int64_t>(p.unanswered ? *p.unanswered + 1 : 0),
-            static_cast<int64_t>(p.known_object_version), static_cast<int64_t>(p.rebases)}) {
-        add(value);
-      }
-      for (const LogEntry& entry : p.meanwhile) key += entry.note_id + ",";
+      if (op.shared != nullptr) key += op.shared->key;
     }
     for (const auto& [id, version] : m.claims) key += id + "=" + std::to_string(version) + ",";
     for (uint64_t node : m.nodes) add(static_cast<int64_t>(node));
@@ -147,11 +168,6 @@
 
   const HeadPool::Entry& Current(const Model& m) const { return m_pool.entries[m.history.back()]; }
 
-  std::string Identity(size_t i) const {
-    LogEntry entry = EntryFor(m_notes[i]);
-    return entry.note_id + "-" + entry.digest;
-  }
-
   std::optional<std::string> Check(const Model& m) const {
     const std::vector<std::string>* before = nullptr;
     for (int number : m.history) {
@@ -162,17 +178,13 @@
       }
       before = &log;
     }
-    std::vector<std::string> ids;
-    for (const LogEntry& entry : Current(m).head.tail) ids.push_back(entry.note_id);
-    std::sort(ids.begin(), ids.end());
-    if (std::adjacent_find(ids.begin(), ids.end()) != ids.end())
-      return "a note is in the log twice";
+    if (Current(m).has_id_twice) return "a note is in the log twice";
     for (size_t i = 0; i < m.operators.size(); ++i) {
       const Operator& op = m.operators[i];
       const auto& log = Current(m).log;
-      bool in_log = std::find(log.begin(), log.end(), Identity(i)) != log.end();
+      bool in_log = std::find(log.begin(), log.end(), m_identities[i]) != log.end();
       if (op.outcome == Outcome::kAccepted &&
-          (op.accepted_version > log.size() || log[op.accepted_version - 1] != Identity(i))) {
+          (op.accepted_version > log.size() || log[op.accepted_version - 1] != m_identities[i])) {
         return "an accepted note is not in the log at its version";
       }
       if (op.outcome == Outcome::kRefused && in_log)
@@ -257,7 +269,7 @@
   void ReadFirst(const Model& m, size_t i, const Emit& emit) {
     for (size_t version = 1; version <= m.history.size(); ++version) {
       Model next = m;
-      next.operators[i].progress = StartRun(m_notes[i], ObjectAt(m, version));
+      next.operators[i].shared = Share(StartRun(m_notes[i], ObjectAt(m, version)));
       next.operators[i].phase = Phase::kClaim;
       emit(std::move(next));
     }
@@ -267,18 +279,21 @@
     const std::string& id = m_notes[i].id;
     Model next = m;
     Operator& op = next.operators[i];
-    auto [claim, created] = next.claims.emplace(id, op.progress.base_version);
+    PublishProgress progress = op.shared->progress;
+    auto [claim, created] = next.claims.emplace(id, progress.base_version);
     op.phase = Phase::kRead;
     if (!created) {
-      RecordClaimFound(op.progress, claim->second);
+      RecordClaimFound(progress, claim->second);
+      op.shared = Share(std::move(progress));
       return emit(std::move(next));
     }
     // The answer is lost: the run begins anew.
     Model lost = next;
-    lost.operators[i].progress = {};
+    lost.operators[i].shared.reset();
     lost.operators[i].phase = Phase::kReadFirst;
     emit(std::move(lost));
-    RecordClaimCreated(op.progress);
+    RecordClaimCreated(progress);
+    op.shared = Share(std::move(progress));
     emit(std::move(next));
   }
 
@@ -287,8 +302,10 @@
       Model next = m;
       Operator& op = next.operators[i];
       const HeadObject& object = ObjectAt(m, version);
-      HeadDecision decision = m_rules.examine(op.progress, object);
+      PublishProgress progress = op.shared->progress;
+      HeadDecision decision = m_rules.examine(progress, object);
       if (std::holds_alternative<RereadHead>(decision)) continue;
+      op.shared = Share(std::move(progress));
       if (auto* accepted = std::get_if<NoteAccepted>(&decision)) {
         Finish(op, Outcome::kAccepted, accepted->version);
       } else if (std::holds_alternative<NoteRefused>(decision)) {
@@ -301,12 +318,9 @@
   }
 
   void Plan(Operator& op, size_t i, const HeadObject& object, int number) {
-    const PublishProgress& p = op.progress;
+    const PublishProgress& p = op.shared->progress;
     std::string key = std::to_string(i) + "," + std::to_string(number) + "," +
-                      std::to_string(object.object_version) + "," + std::to_string(p.fenced) + "," +
-                      std::to_string(p.unanswered ? *p.unanswered + 1 : 0) + "," +
-                      std::to_string(p.rebases);
-    for (const LogEntry& entry : p.meanwhile) key += "," + entry.note_id;
+                      std::to_string(object.object_version) + "," + op.shared->key;
     auto [it, inserted] = m_planned.try_emplace(key);
     if (inserted) {
       ConfigTable table = m_pool.entries[number].table;
@@ -350,7 +364,9 @@
   }
 
   static void Record(Operator& op, const UpdateHead& update, WriteOutcome outcome) {
-    auto version = RecordWrite(op.progress, update, outcome);
+    PublishProgress progress = op.shared->progress;
+    auto version = RecordWrite(progress, update, outcome);
+    op.shared = Share(std::move(progress));
     op.phase = Phase::kRead;
     op.update_head = -1;
     op.update_expected = 0;
@@ -362,10 +378,11 @@
     op.phase = Phase::kDone;
     op.outcome = outcome;
     op.accepted_version = version;
-    op.progress = {};
+    op.shared.reset();
   }
 
   std::array<ReleaseNote, 2> m_notes;
+  std::array<std::string, 2> m_identities;
   Rules m_rules;
   HeadPool m_pool;
   std::map<std::pair<int, uint64_t>, HeadObject> m_objects;
--- /dev/null
+++ b/test/correctness/version_guard_rules_test.cc
@@ -0,0 +1,109 @@
+// Guards against a node that serves too early, or that waits although it may serve.
+#include <gtest/gtest.h>
+
+#include "version_guard.h"
+
+namespace guavatrail {
+namespace {
+
+GuardState Started(std::vector<std::string> keepers) {
+  GuardState guard;
+  SetKeepers(guard, keepers, keepers);
+  return guard;
+}
+
+TEST(VersionGuardRules, PromisesBeforeAVersionGoesInForce) {
+  GuardState guard = Started({"a", "b", "c"});
+  RecordHead(guard, 3);
+  RecordHeld(guard, 3);
+  GuardActions asks = StepGuard(guard, 0);
+  EXPECT_EQ(asks.query, (std::vector<std::string>{"a", "b", "c"}));
+  EXPECT_TRUE(asks.promise_to.empty());
+  RecordFloorReply(guard, "a", 2, 3, false);
+  RecordFloorReply(guard, "b", 0, 0, true);
+  GuardActions promises = StepGuard(guard, 10);
+  EXPECT_EQ(promises.promise_to, (std::vector<std::string>{"a", "b", "c"}));
+  EXPECT_EQ(promises.promise_version, 3u);
+  EXPECT_FALSE(promises.in_force_changed);
+  RecordPromiseAck(guard, "a", 3);
+  EXPECT_FALSE(StepGuard(guard, 20).in_force_changed);
+  RecordPromiseAck(guard, "c", 3);
+  EXPECT_TRUE(StepGuard(guard, 30).in_force_changed);
+  EXPECT_EQ(guard.in_force, 3u);
+}
+
+TEST(VersionGuardRules, RepeatsAnUnansweredPromiseAfter300Ms) {
+  GuardState guard = Started({"a", "b"});
+  RecordHead(guard, 0);
+  RecordFloorReply(guard, "a", 0, 0, false);
+  RecordFloorReply(guard, "b", 0, 0, false);
+  EXPECT_TRUE(StepGuard(guard, 0).in_force_changed);
+  RecordHeld(guard, 1);
+  EXPECT_EQ(StepGuard(guard, 100).promise_to.size(), 2u);
+  RecordPromiseAck(guard, "a", 1);
+  GuardActions waiting = StepGuard(guard, 399);
+  EXPECT_TRUE(waiting.promise_to.empty());
+  EXPECT_EQ(waiting.next_ms, 400);
+  EXPECT_EQ(StepGuard(guard, 400).promise_to, std::vector<std::string>{"b"});
+}
+
+TEST(VersionGuardRules, WaitsForTheHighestFloorAndTheHighestVersionTold) {
+  GuardState guard = Started({"a", "b"});
+  RecordHead(guard, 3);
+  RecordHeld(guard, 3);
+  RecordFloorReply(guard, "a", 5, 0, false);
+  RecordFloorReply(guard, "b", 0, 0, false);
+  EXPECT_FALSE(MayStart(guard, 0));
+  RecordHeld(guard, 5);
+  EXPECT_TRUE(MayStart(guard, 0));
+  RecordPeerVersion(guard, 6);
+  EXPECT_FALSE(MayStart(guard, 0));
+}
+
+TEST(VersionGuardRules, StartsWithoutThePlatformWhenTwoOldKeepersAnswer) {
+  GuardState guard = Started({"a", "b", "c"});
+  RecordHeld(guard, 4);
+  RecordFloorReply(guard, "a", 4, 4, false);
+  RecordFloorReply(guard, "b", 0, 4, true);
+  EXPECT_FALSE(MayStart(guard, 0));
+  RecordFloorReply(guard, "c", 3, 4, false);
+  EXPECT_FALSE(MayStart(guard, 0)) << "the platform has not failed yet";
+  RecordPlatformFailure(guard);
+  EXPECT_TRUE(MayStart(guard, 0));
+}
+
+TEST(VersionGuardRules, LoneNodeWaitsForTheMembership) {
+  GuardState guard = Started({});
+  RecordHead(guard, 0);
+  GuardActions early = StepGuard(guard, 0);
+  EXPECT_FALSE(early.in_force_changed);
+  EXPECT_EQ(early.next_ms, guard.timing.lone_start_ms);
+  EXPECT_TRUE(StepGuard(guard, guard.timing.lone_start_ms).in_force_changed);
+}
+
+TEST(VersionGuardRules, PromisesAgainToARestartedKeeper) {
+  GuardState guard = Started({"a", "b"});
+  RecordHead(guard, 2);
+  RecordHeld(guard, 2);
+  RecordFloorReply(guard, "a", 2, 2, false);
+  RecordFloorReply(guard, "b", 2, 2, false);
+  EXPECT_TRUE(StepGuard(guard, 0).in_force_changed);
+  EXPECT_TRUE(StepGuard(guard, 1).promise_to.empty());
+  ForgetKeeper(guard, "b");
+  GuardActions again = StepGuard(guard, 2);
+  EXPECT_EQ(again.promise_to, std::vector<std::string>{"b"});
+  EXPECT_EQ(again.promise_version, 2u);
+}
+
+TEST(VersionGuardRules, KeeperRemembersTheHighestPromise) {
+  PromiseBook book(0);
+  book.Record("n", 4);
+  book.Record("n", 2);
+  EXPECT_EQ(book.Floor("n"), 4u);
+  EXPECT_EQ(book.Floor("other"), 0u);
+  EXPECT_TRUE(book.IsNewlyStarted(PromiseBook::kNewlyStartedMs - 1));
+  EXPECT_FALSE(book.IsNewlyStarted(PromiseBook::kNewlyStartedMs));
+}
+
+}  // namespace
+}  // namespace guavatrail
