Bind the in-process platform below the ephemeral ports when these are used up

Cause: 20 tests failed at binding port 0 while 76707 closed connections on the machine, of unmeasured origin, were in TIME_WAIT. Change: FakePlatform then tries ports below the ephemeral range.

--- a/test/support/fake_platform.cc
+++ b/test/support/fake_platform.cc
@@ -4,6 +4,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <algorithm>
 
@@ -41,11 +42,25 @@
   return decoded.get();
 }
 
+// Port 0 fails while closed connections of other tests occupy the whole ephemeral range; the ports
+// below that range are then tried from one that depends on the process.
+evhttp_bound_socket* Bind(evhttp* http) {
+  constexpr int kFirstPort = 20'000;
+  constexpr int kPorts = 12'000;
+  constexpr int kAttempts = 100;
+  evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
+  for (int i = 0; socket == nullptr && i < kAttempts; ++i) {
+    int port = kFirstPort + (getpid() * 7 + i) % kPorts;
+    socket = evhttp_bind_socket_with_handle(http, "127.0.0.1", static_cast<uint16_t>(port));
+  }
+  return socket;
+}
+
 }  // namespace
 
 FakePlatform::FakePlatform(EventLoop& loop) : m_loop(loop), m_http(evhttp_new(loop.base())) {
   evhttp_set_gencb(m_http, &FakePlatform::OnRequest, this);
-  evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(m_http, "127.0.0.1", 0);
+  evhttp_bound_socket* socket = Bind(m_http);
   CHECK(socket != nullptr) << "no port on loopback";
   sockaddr_in address{};
   socklen_t length = sizeof(address);
