Keep the table between publications of one publisher

Change: the publisher keeps the last table and reads only the notes after it. The sanitizer build was not run again after this change.

--- a/src/publisher.cc
+++ b/src/publisher.cc
@@ -120,7 +120,7 @@
     if (auto* refused = std::get_if<NoteRefused>(&decision)) {
       return Finish(PublishRefused{refused->reason, refused->conflicting_note});
     }
-    ReadTable(m_owner.m_client, m_object.head, m_table, Step(&Run::OnTable));
+    ReadTable(m_owner.m_client, m_object.head, m_owner.m_table, Step(&Run::OnTable));
   }
 
   void OnOlderEntries(tl::expected<std::vector<LogEntry>, StoreError> entries) {
@@ -130,8 +130,8 @@
 
   void OnTable(tl::expected<std::shared_ptr<const ConfigTable>, StoreError> table) {
     if (!table) return RetryLater(table.error().message);
-    m_table = *table;
-    WriteDecision decision = PlanWrite(m_progress, m_object, m_note, *m_table);
+    m_owner.m_table = *table;
+    WriteDecision decision = PlanWrite(m_progress, m_object, m_note, **table);
     if (auto* refused = std::get_if<NoteRefused>(&decision)) {
       return Finish(PublishRefused{refused->reason, refused->conflicting_note});
     }
@@ -220,7 +220,6 @@
   std::function<void(PublishResult)> m_done;
   PublishProgress m_progress;
   HeadObject m_object;
-  std::shared_ptr<const ConfigTable> m_table;
   UpdateHead m_update;
   bool m_claimed = false;
   bool m_head_update_sent = false;
--- a/src/publisher.h
+++ b/src/publisher.h
@@ -61,6 +61,8 @@
   PlatformClient& m_client;
   RandomSource& m_random;
   Options m_options;
+  // The table that was read last; later reads need only the notes after it.
+  std::shared_ptr<const ConfigTable> m_table;
   std::vector<std::shared_ptr<Run>> m_runs;
 };
 
