Answer table requests on the asking connection; bench the loss of a data centre

Cause: a node that returns at another address asks a contact for the member table, but the contact answered on its connection to the old address. The bench lacked the loss of a group of nodes, a platform and the CPU time of joining. Change: MemberTable is a reply and takes the connection of the request first; a test covers the return at another address. membership_bench destroys the nodes of one data centre, counts false deaths, and takes a platform port.

--- a/src/control_transport.cc
+++ b/src/control_transport.cc
@@ -91,8 +91,10 @@
 }
 
 bool IsReply(const pb::ControlMessage& message) {
-  return message.has_heartbeat_ack() || message.has_notes_reply() || message.has_promise_ack() ||
-         message.has_floor_reply();
+  // A node that returns at another address asks for the member table before its new address is
+  // known.
+  return message.has_heartbeat_ack() || message.has_member_table() || message.has_notes_reply() ||
+         message.has_promise_ack() || message.has_floor_reply();
 }
 
 std::string ZeroMqAddress(std::string_view address) { return "tcp://" + std::string(address); }
--- a/test/correctness/membership_follows_nodes_test.cc
+++ b/test/correctness/membership_follows_nodes_test.cc
@@ -76,6 +76,20 @@
       2000));
 }
 
+TEST_F(MembershipFollowsNodes, QuickReturnAtAnotherAddressIsSeenAtOnce) {
+  StartChain(5);
+  nodes.pop_back();
+  Settings moved = MakeSettings("a4");
+  moved.membership.seeds = {nodes[0]->Address()};
+  test::FleetNode& returned = Start(moved);
+  EXPECT_TRUE(Await(
+      [&] {
+        return AllSeeAll() &&
+               nodes[0]->Endpoints()->FindNode("a4")->incarnation == returned.plane->incarnation();
+      },
+      2000));
+}
+
 TEST_F(MembershipFollowsNodes, AnotherNodeAtTheAddressDoesNotKeepADeadOneAlive) {
   StartChain(5);
   Settings settings = nodes[4]->settings;
--- a/test/standins/membership_bench.cc
+++ b/test/standins/membership_bench.cc
@@ -1,6 +1,6 @@
 // Measures the control traffic, memory and CPU time of control planes that run in one process on
-// loopback addresses, and how fast a silent node is found.
-// usage: membership_bench --nodes N [--seconds S] [--port P]
+// loopback addresses, and how fast a silent node and the loss of a data centre are found.
+// usage: membership_bench --nodes N [--seconds S] [--port P] [--platform PORT]
 #include <glog/logging.h>
 #include <sys/resource.h>
 #include <tclap/CmdLine.h>
@@ -29,6 +29,8 @@
   int nodes = 10;
   int seconds = 20;
   int port = 21000;
+  // Port of a platform on 127.0.0.1; nothing listens on port 1.
+  int platform_port = 1;
 };
 
 double ResidentMb() {
@@ -61,9 +63,8 @@
                    "dc-" + std::to_string(i % kDataCentres)};
   settings.listen.ip = IpOf(i);
   settings.listen.control_port = options.port;
-  // Nothing listens there: membership must work without the platform.
   settings.platform.ip = "127.0.0.1";
-  settings.platform.port = 1;
+  settings.platform.port = options.platform_port;
   settings.membership.seeds = {IpOf(0) + ":" + std::to_string(options.port),
                                IpOf(1) + ":" + std::to_string(options.port)};
   settings.control = {public_key, secret_key};
@@ -113,8 +114,11 @@
   int64_t RunUntil(const std::function<bool()>& done, int64_t limit_ms);
   bool AllSee(MemberState state) const;
   bool IsComplete() const;
+  // Destroys the nodes of one data centre at once and waits until all others see them dead.
+  void LoseDataCentre();
   Totals Sum() const;
   void PrintQuiet(const Totals& before, double seconds) const;
+  void PrintEvents() const;
 
   BenchOptions m_options;
   EventLoop m_loop;
@@ -195,10 +199,39 @@
             << '\n';
 }
 
+void Bench::LoseDataCentre() {
+  const std::string lost = m_nodes[1]->settings.node.data_centre;
+  std::erase_if(m_nodes, [&](const auto& node) { return node->settings.node.data_centre == lost; });
+  auto count_dead = [&](bool in_lost, Node& node) {
+    size_t count = 0;
+    auto endpoints = node.plane.view().endpoints();
+    for (const Endpoint& endpoint : endpoints->all()) {
+      count += (endpoint.data_centre == lost) == in_lost && endpoint.state == MemberState::kDead;
+    }
+    return count;
+  };
+  size_t expected = static_cast<size_t>(m_options.nodes) - m_nodes.size();
+  size_t falsely_dead = 0;
+  int64_t dead_ms = RunUntil(
+      [&] {
+        bool all = true;
+        for (const auto& node : m_nodes) {
+          all = all && count_dead(true, *node) == expected;
+          falsely_dead = std::max(falsely_dead, count_dead(false, *node));
+        }
+        return all;
+      },
+      kLimitMs);
+  std::cout << "lost_data_centre nodes=" << expected << " dead_everywhere_ms=" << dead_ms
+            << " falsely_dead=" << falsely_dead << std::endl;
+}
+
 int Bench::Run() {
+  double start_cpu_s = CpuSeconds();
   Start();
-  std::cout << "nodes=" << m_options.nodes << " join_ms=" << std::flush
-            << RunUntil([this] { return IsComplete(); }, kLimitMs) << std::endl;
+  int64_t join_ms = RunUntil([this] { return IsComplete(); }, kLimitMs);
+  std::cout << "nodes=" << m_options.nodes << " join_ms=" << join_ms << " join_cpu_ms_per_node="
+            << (CpuSeconds() - start_cpu_s) * kMsPerSecond / m_options.nodes << std::endl;
   RunFor(kSettleMs);
   Totals before = Sum();
   RunFor(m_options.seconds * kMsPerSecond);
@@ -211,6 +244,12 @@
   int64_t back_ms = RunUntil([this] { return AllSee(MemberState::kAlive); }, kLimitMs);
   std::cout << "resumed_node alive_everywhere_ms=" << back_ms << std::endl;
 
+  PrintEvents();
+  LoseDataCentre();
+  return dead_ms < 0 || back_ms < 0 ? 1 : 0;
+}
+
+void Bench::PrintEvents() const {
   uint64_t deaths = 0;
   uint64_t suspicions = 0;
   uint64_t exchanges = 0;
@@ -221,7 +260,6 @@
   }
   std::cout << "suspicions=" << suspicions << " deaths=" << deaths << " exchanges=" << exchanges
             << std::endl;
-  return dead_ms < 0 || back_ms < 0 ? 1 : 0;
 }
 
 }  // namespace
@@ -239,8 +277,10 @@
                                  options.seconds, "seconds", command);
     TCLAP::ValueArg<int> port("p", "port", "Control port of all nodes.", false, options.port,
                               "port", command);
+    TCLAP::ValueArg<int> platform("", "platform", "Port of a platform on 127.0.0.1; 1 for none.",
+                                  false, options.platform_port, "port", command);
     command.parse(argc, argv);
-    options = {nodes.getValue(), seconds.getValue(), port.getValue()};
+    options = {nodes.getValue(), seconds.getValue(), port.getValue(), platform.getValue()};
   } catch (const TCLAP::ArgException& error) {
     std::cerr << error.error() << ": " << error.argId() << '\n';
     return 2;
