--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -27,9 +27,6 @@
 constexpr size_t kMaxOnDemand = 16;
 constexpr int64_t kContactMs = 2000;
 constexpr int64_t kProbeConflictMs = 5000;
-// Versions are sent in full to each neighbour once in about this many ticks, in case some were
-// lost.
-constexpr uint64_t kFullVersionsTicks = 60;
 constexpr int kLogPeriodS = 10;
 
 int64_t NowMs() { return EventLoop::NowUs() / 1000; }
@@ -254,23 +251,6 @@
   SendTo(node.name, message);
 }
 
-void ControlPlane::SendVersions() {
-  for (const std::string& node : m_neighbours) {
-    Peer& peer = m_peers[node];
-    if (m_random.Below(kFullVersionsTicks) == 0) peer.versions_sent = 0;
-    if (peer.has_same_digest && peer.versions_sent != m_table.version_clock()) {
-      SendVersions(node, peer);
-    }
-  }
-}
-
-void ControlPlane::SendVersions(const std::string& node, Peer& peer) {
-  pb::ControlMessage message;
-  *message.mutable_member_versions() = m_table.VersionsSince(peer.versions_sent);
-  bool has_news = message.member_versions().groups_size() > 0;
-  if (!has_news || m_transport.Send(node, message)) peer.versions_sent = m_table.version_clock();
-}
-
 void ControlPlane::CloseIdle() {
   int64_t now_ms = NowMs();
   std::erase_if(m_on_demand, [&](const auto& item) {
--- a/src/control_plane_messages.cc
+++ b/src/control_plane_messages.cc
@@ -1,4 +1,4 @@
-// The part of ControlPlane that handles messages.
+// The part of ControlPlane that handles messages and sends versions.
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -14,6 +14,9 @@
 // The digests of two neighbours differ for a moment whenever news is on its way, so only a lasting
 // difference is worth an exchange.
 constexpr int kDifferingHeartbeats = 2;
+// Versions are sent in full to each neighbour once in about this many ticks, in case some were
+// lost.
+constexpr uint64_t kFullVersionsTicks = 60;
 constexpr int kLogPeriodS = 10;
 
 int64_t NowMs() { return EventLoop::NowUs() / 1000; }
@@ -120,6 +123,23 @@
   SendTo(node, message);
 }
 
+void ControlPlane::SendVersions() {
+  for (const std::string& node : m_neighbours) {
+    Peer& peer = m_peers[node];
+    if (m_random.Below(kFullVersionsTicks) == 0) peer.versions_sent = 0;
+    if (peer.has_same_digest && peer.versions_sent != m_table.version_clock()) {
+      SendVersions(node, peer);
+    }
+  }
+}
+
+void ControlPlane::SendVersions(const std::string& node, Peer& peer) {
+  pb::ControlMessage message;
+  *message.mutable_member_versions() = m_table.VersionsSince(peer.versions_sent);
+  bool has_news = message.member_versions().groups_size() > 0;
+  if (!has_news || m_transport.Send(node, message)) peer.versions_sent = m_table.version_clock();
+}
+
 void ControlPlane::OnJoinRequest(Sender from, const pb::JoinRequest& request) {
   if (request.self().name() != from) return;
   // A second process with this node's name cannot be sent an answer under that name; the higher
