Take the median of interleaved rounds for the added latency

On a shared machine one run of each variant gave differences that a burst of other work decided, even negative ones. The variants now take turns, and the median round counts.

--- a/test/bench/calls.py
+++ b/test/bench/calls.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Measures calls over real processes, with the baseline policies and with ours.
 
-usage: calls.py [--build DIR] [--only NAME,...] [--seconds N] [--seed N]
+usage: calls.py [--build DIR] [--only NAME,...] [--seconds N] [--rounds N] [--seed N]
 
 Measurements, each with the settings of the baseline (placement round_robin, admission unlimited, no
 hedging) and with the default settings:
@@ -17,6 +17,7 @@
 import json
 import os
 import pathlib
+import statistics
 import subprocess
 import sys
 import tempfile
@@ -129,14 +130,19 @@
             server.ip, RELAY_FIRST, "GET", "/stats") is not None)
         runs = {"direct": f"{server.ip}:{SERVER}", "relays": f"{server.ip}:{RELAY_FIRST}",
                 "guavatrail": f"{entry.ip}:{CALLER}"}
-        results = {}
+        results = {name: [] for name in runs}
         for name, target in runs.items():
             bench.load("latency-warm-up", name, [target], kinds, ["1s@200"])
-            results[name] = bench.load("latency", name, [target], kinds, phases)["lookup"]
+        for _ in range(bench.options.rounds):
+            for name, target in runs.items():
+                results[name].append(bench.load("latency", name, [target], kinds, phases)["lookup"])
+    # The variants take turns and the median round counts, so that a short burst of other work on the
+    # machine does not decide.
     for q in ("p50_ms", "p95_ms", "p99_ms"):
-        direct = results["direct"][q]
-        show(f"added_latency_{q[:3]}", results["relays"][q] - direct,
-             results["guavatrail"][q] - direct, "ms")
+        median = {name: statistics.median(kind[q] for kind in rounds)
+                  for name, rounds in results.items()}
+        show(f"added_latency_{q[:3]}", median["relays"] - median["direct"],
+             median["guavatrail"] - median["direct"], "ms")
 
 
 def recovery_ms(kind, end, slices_a_second):
@@ -219,6 +225,7 @@
     parser.add_argument("--build", default=ROOT / "build", type=pathlib.Path)
     parser.add_argument("--only", default=",".join(MEASURES))
     parser.add_argument("--seconds", type=int, default=5)
+    parser.add_argument("--rounds", type=int, default=5, help="of the latency measurement")
     parser.add_argument("--seed", type=int, default=1)
     bench = Bench(parser.parse_args())
     for name in bench.options.only.split(","):
