--- a/test/bench/calls.py
+++ b/test/bench/calls.py
@@ -17,6 +17,7 @@
 import json
 import os
 import pathlib
+import shutil
 import statistics
 import subprocess
 import sys
@@ -65,8 +66,11 @@
             wait_until("every node knows all members", 30,
                        lambda: all(known_members(n) >= len(nodes) for n in nodes))
             yield fleet
+        except StepFailed as failure:
+            raise StepFailed(f"{failure}; logs: {directory}") from failure
         finally:
             fleet.stop_all()
+        shutil.rmtree(directory)
 
     def load(self, run, policy, targets, kinds, phases, *arguments):
         """Runs the load tool to its end; the results by kind."""
