--- a/test/correctness/slowed_servers_are_avoided_test.cc
+++ b/test/correctness/slowed_servers_are_avoided_test.cc
@@ -17,10 +17,8 @@
 ModelOptions Slowed(ModelOptions options, size_t slow_servers) {
   options.servers = 5;
   options.entries = 17;
-  options.kinds = {{.name = "lookup",
-                    .deadline_us = 300'000,
-                    .service_us = 10'000,
-                    .straggler_share = 0.01}};
+  options.kinds = {
+      {.name = "lookup", .deadline_us = 300'000, .service_us = 10'000, .straggler_share = 0.01}};
   options.phases = {{20 * kSecond, 0.4 * 5 * 9 / 0.010}};
   for (size_t i = 0; i < slow_servers; ++i) options.slowdowns.push_back({i, kSlowFrom, kSlowTo});
   return options;
