Test the call path under random faults of servers and callers

Cause: single faults were tested one at a time. Change: 120 callers with keyed orders and lookups against three servers that answer, cut, close, hang and shed at random, with four seeds.

--- /dev/null
+++ b/test/correctness/call_path_survives_random_faults_test.cc
@@ -0,0 +1,139 @@
+// Guards against orders run twice or falsely reported, answers that reach another caller or look
+// whole when cut, and calls or slots that are never released, under random faults of servers and
+// callers.
+#include <map>
+
+#include "entry_fixture.h"
+
+namespace guavatrail {
+namespace {
+
+class CallPathSurvivesRandomFaults : public EntryFixture,
+                                     public testing::WithParamInterface<uint64_t> {
+ protected:
+  static std::string NameOf(const std::string& request) {
+    size_t start = request.find('/');
+    return request.substr(start, request.find(' ', start) - start);
+  }
+
+  // The answer to a request names it, so that a mix-up is seen.
+  void Serve(FakeConnection& c, const std::string& request) {
+    std::string name = NameOf(request);
+    ++m_executions[name];
+    std::string body = name + std::string(m_faults.Below(40'000), 'x');
+    std::string whole = Answer(200, body);
+    switch (m_faults.Below(8)) {
+      case 0:
+        c.Send(whole.substr(0, whole.size() / 2));
+        c.Close();
+        break;
+      case 1:
+        c.Close();
+        break;
+      case 2:  // Hangs.
+        break;
+      case 3:
+        c.Send(Chunked(body));
+        break;
+      case 4:
+        c.Send(Answer(503, name));
+        break;
+      default:
+        c.Send(whole);
+    }
+  }
+
+  static std::string Chunked(const std::string& body) {
+    char size[16];
+    snprintf(size, sizeof(size), "%zx", body.size());
+    return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + size + "\r\n" +
+           body + "\r\n0\r\n\r\n";
+  }
+
+  struct Caller {
+    std::string name;
+    std::unique_ptr<FakeClient> client;
+    bool is_leaving = false;
+  };
+
+  // Sends orders under keys and lookups; some callers leave soon.
+  void StartCallers() {
+    constexpr int kCallers = 120;
+    std::vector<std::string> keys;
+    for (int i = 0; i < kCallers / 2; ++i) {
+      std::string key = Ask("POST", "/orders/key")->header("Idempotency-Key");
+      ASSERT_FALSE(key.empty());
+      keys.push_back(Key(key));
+    }
+    for (int i = 0; i < kCallers; ++i) {
+      Caller caller;
+      bool is_order = i % 2 == 0;
+      caller.name = (is_order ? "/orders/" : "/pecas/") + std::to_string(i);
+      std::string headers = "X-Guavatrail-Deadline-Ms: 400\r\n";
+      if (is_order) headers += keys[i / 2];
+      caller.client = Send(is_order ? "POST" : "GET", caller.name, headers);
+      caller.is_leaving = m_faults.Below(6) == 0;
+      m_callers.push_back(std::move(caller));
+    }
+  }
+
+  void Check(const Caller& caller) {
+    const FakeClient& client = *caller.client;
+    bool is_order = caller.name.starts_with("/orders/");
+    int executions = m_executions[caller.name];
+    if (is_order) {
+      EXPECT_LE(executions, 1) << caller.name;
+    }
+    if (!client.HasWholeAnswer()) return;
+    if (client.header("X-Guavatrail-Outcome") == "not-run") {
+      EXPECT_EQ(executions, 0) << caller.name;
+    }
+    if (client.header("X-Guavatrail-Outcome") == "answered") {
+      EXPECT_TRUE(client.body().starts_with(caller.name)) << client.body().substr(0, 40);
+    }
+  }
+
+  RandomSource m_faults{GetParam()};
+  std::map<std::string, int> m_executions;
+  std::vector<Caller> m_callers;
+};
+
+TEST_P(CallPathSurvivesRandomFaults, AndEverythingIsReleased) {
+  for (int i = 0; i < 3; ++i) {
+    AddServer([this](FakeConnection& c, const std::string& request) { Serve(c, request); });
+  }
+  Start();
+  StartCallers();
+  RunFor(m_loop, std::chrono::milliseconds(10));
+  for (Caller& caller : m_callers) {
+    if (caller.is_leaving) caller.client->Close();
+  }
+  for (Caller& caller : m_callers) {
+    if (caller.is_leaving) continue;
+    ASSERT_TRUE(RunUntil(m_loop, [&] {
+      return caller.client->HasWholeAnswer() || caller.client->closed_by_peer();
+    })) << caller.name;
+    Check(caller);
+  }
+  bool idle = false;
+  m_entry->StartDrain([&] { idle = true; });
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return idle; }));
+  // Hung orders run on; when their servers close, nothing is left in service.
+  for (auto& server : m_servers) {
+    for (auto& connection : server->server->all()) connection->Close();
+  }
+  for (auto& server : m_servers) {
+    EXPECT_TRUE(RunUntil(m_loop, [&] {
+      return server->proxy->load().in_service == 0 && server->proxy->load().queued == 0;
+    }));
+  }
+  // What was reported as not run has not been run since.
+  for (Caller& caller : m_callers) {
+    if (!caller.is_leaving) Check(caller);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CallPathSurvivesRandomFaults, testing::Values(1, 2, 3, 4));
+
+}  // namespace
+}  // namespace guavatrail
