Close a hole through which a request given up as not sent could leave

Change: the socket is shut down when the connection is given up; tests ignore SIGPIPE as the programs do. A test of attempts that fail at once is added and not yet run.

--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -333,6 +333,9 @@
                          [&](const auto& entry) { return entry.get() == &connection; });
   if (it == m_connections.end()) return;
   bufferevent_disable(connection.bev, EV_READ | EV_WRITE);
+  // A connection attempt under way cannot be disabled; it could still succeed before the connection
+  // is freed, and a request that was given up as not sent would leave.
+  shutdown(bufferevent_getfd(connection.bev), SHUT_RDWR);
   m_closed.splice(m_closed.end(), m_connections, it);
   m_deferred.Post([this] {
     m_closed.clear();
--- a/test/error/connection_pool_sends_once_test.cc
+++ b/test/error/connection_pool_sends_once_test.cc
@@ -64,5 +64,20 @@
   EXPECT_EQ(pool.connections_opened(), 1U);
 }
 
+TEST_F(ConnectionPoolSendsOnce, WhenTheAttemptFailsAtOnce) {
+  // Neither a source address of another host nor a broadcast destination can be used; the system
+  // says so inside the call that starts the connection, as it does when ports run out.
+  for (const auto& [ip, local_ip] : std::vector<std::pair<std::string, std::string>>{
+           {"127.0.0.1", "192.0.2.1"}, {"255.255.255.255", ""}}) {
+    ConnectionPool pool(m_loop, {.ip = ip, .port = UnusedPort(), .local_ip = local_ip});
+    std::optional<ExchangeEnd> end;
+    auto exchange = Start(pool, end);
+    ASSERT_TRUE(RunUntil(m_loop, [&] { return end.has_value(); })) << ip;
+    EXPECT_EQ(*end, ExchangeEnd::kNotSent) << ip;
+    RunFor(m_loop, std::chrono::milliseconds(20));
+    EXPECT_EQ(pool.connections(), 0U);
+  }
+}
+
 }  // namespace
 }  // namespace guavatrail
--- a/test/support/fake_server.cc
+++ b/test/support/fake_server.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <csignal>
 #include <optional>
 
 namespace guavatrail {
@@ -136,6 +137,8 @@
 
 FakeServer::FakeServer(EventLoop& loop, Handler handler)
     : m_loop(loop), m_handler(std::move(handler)) {
+  // As in the programs: writing to a closed connection is an error, not the end of the process.
+  std::signal(SIGPIPE, SIG_IGN);
   sockaddr_in address = Loopback(0);
   m_listener = evconnlistener_new_bind(loop.base(), &OnAccept, this,
                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
