Report attempts that fail at once as not sent, and free their requests

Cause: when libevent fails inside the call that starts a connection, evhttp calls back without a request, which was taken for a broken one, or leaves the request unfreed (found by the leak sanitizer). Change: whether bytes left decides; the request is freed. Result: the 8 connection pool tests pass with the address and leak sanitizers. Conclusion: such calls may go to another node.

--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -137,12 +137,9 @@
   auto* self = static_cast<PooledConnection*>(arg);
   self->request = nullptr;
   if (self->exchange == nullptr) return;
-  if (req == nullptr) {
-    self->pool.End(*self, ExchangeEnd::kBroken);
-    return;
-  }
-  if (evhttp_request_get_response_code(req) == 0) {
-    // evhttp calls back with an empty request when the connection attempt failed.
+  if (req == nullptr || evhttp_request_get_response_code(req) == 0) {
+    // evhttp calls back without an answer when the connection attempt failed or the connection
+    // broke.
     bool sent = self->exchange->m_sent;
     self->pool.End(*self, sent ? ExchangeEnd::kBroken : ExchangeEnd::kNotSent);
     return;
@@ -294,8 +291,10 @@
     evbuffer_add(evhttp_request_get_output_buffer(req), request.body->data(), request.body->size());
   }
   if (!connection.has_connected) connection.connect_timer.Start(m_options.connect_timeout);
-  if (evhttp_make_request(connection.evcon, req, request.method, request.uri.c_str()) != 0 &&
-      connection.exchange != nullptr) {
+  if (evhttp_make_request(connection.evcon, req, request.method, request.uri.c_str()) == 0) return;
+  // evhttp takes the request off the connection without freeing it.
+  evhttp_request_free(req);
+  if (connection.exchange != nullptr) {
     End(connection, exchange.m_sent ? ExchangeEnd::kBroken : ExchangeEnd::kNotSent);
   }
 }
