Remove the working folders of the demo and the measurement

Cause: each run left a folder of logs in the temporary directory. Change: both remove their folder; a failed demo keeps it and names it. Conclusion: nothing is left behind by a good run.

--- a/test/bench/delivery.py
+++ b/test/bench/delivery.py
@@ -13,6 +13,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import sys
 import tempfile
@@ -171,6 +172,7 @@
                 "memory": max(memory_mb(n.process.popen.pid) for n in nodes)}
     finally:
         fleet.stop_all()
+        shutil.rmtree(directory, ignore_errors=True)
 
 
 def main():
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -3,6 +3,7 @@
 import argparse
 import os
 import pathlib
+import shutil
 import sys
 import tempfile
 
@@ -52,7 +53,7 @@
     centres = sorted({n.data_centre for n in fleet.nodes.values()})
     assert len(centres) == DATA_CENTRE_COUNT, centres
     show("started", f"platform {fleet.platform_ip}:{PLATFORM}, {len(fleet.nodes)} nodes with their "
-         f"servers in {', '.join(centres)}; admin port {ADMIN}; logs in {fleet.dir}")
+         f"servers in {', '.join(centres)}; admin port {ADMIN}; logs in {fleet.dir} while it runs")
     first, *_ = nodes = list(fleet.nodes.values())
     for version, user in enumerate(("gaveta-viva", "aurinkopilkku"), 1):
         note = ROOT / "examples" / "notes" / f"{user}.toml"
@@ -89,6 +90,7 @@
         return 1
     finally:
         fleet.stop_all()
+    shutil.rmtree(directory, ignore_errors=True)
     print("demo done: everything worked and everything that was started is stopped")
     return 0
 
