Test that callers do not reach the nodes' own paths

Cause: a mutant that opened these paths to callers survived, since no test had a route that matches them. Change: a test with a route for every path.

--- a/test/correctness/entry_node_forwards_calls_test.cc
+++ b/test/correctness/entry_node_forwards_calls_test.cc
@@ -45,6 +45,16 @@
   EXPECT_NE(no_table->header("Retry-After"), "");
 }
 
+TEST_F(EntryNodeForwardsCalls, CallersDoNotReachTheNodesOwnPaths) {
+  m_resources.emplace_back(Route{"all", "/", "encomendas", "lookup"});
+  AddServer(AnswerOk);
+  Start();
+  EXPECT_EQ(Ask("GET", "/anything")->status(), 200);
+  auto key = Ask("POST", "/guavatrail/v1/order-key");
+  EXPECT_EQ(key->status(), 404);
+  EXPECT_EQ(key->header("Idempotency-Key"), "");
+}
+
 TEST_F(EntryNodeForwardsCalls, TheShorterDeadlineIsPassedOn) {
   Server& server = AddServer(AnswerOk);
   Start();
