Count keepers' answers for their current lifetime only; read notes in parallel

Cause: (1) an acknowledgement or floor of a keeper's former lifetime could count for the restarted keeper, which has forgotten it; with two of three keepers that would let a version go in force on one kept promise. (2) A publisher read up to 64 notes one after the other: 14 s at version 24 with 500 ms for each answer. (3) The entry node counted dead and draining servers towards half of a service, and did not pass on the service time that a server's node reports.

--- a/src/config_store.cc
+++ b/src/config_store.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Reads of notes under way at the same time for one table.
+constexpr size_t kMaxOpenReads = 16;
+
 tl::unexpected<StoreError> Fail(StoreError::Code code, const std::string& message) {
   return tl::make_unexpected(StoreError{code, message});
 }
@@ -79,12 +82,15 @@
   }
 };
 
-// Reads the snapshot, when it is needed, and the notes after it one after the other.
+// Reads the snapshot, when it is needed, and the notes after it, several at a time.
 struct UpdatesRead : std::enable_shared_from_this<UpdatesRead> {
   PlatformClient& client;
   ConfigHead head;
   TableUpdates updates;
   std::vector<LogEntry> entries;
+  size_t next = 0;
+  size_t open = 0;
+  bool failed = false;
   StoreHandler<TableUpdates> handler;
 
   UpdatesRead(PlatformClient& c, const ConfigHead& h, std::shared_ptr<const ConfigTable> base,
@@ -115,19 +121,36 @@
                 [self = shared_from_this()](auto read) {
                   if (!read) return self->handler(tl::make_unexpected(read.error()));
                   self->entries = std::move(*read);
-                  self->ReadNextNote();
+                  self->ReadNotes();
                 });
   }
 
-  void ReadNextNote() {
-    size_t next = updates.notes.size();
-    if (next == entries.size()) return handler(std::move(updates));
-    ReadNoteBytes(client, entries[next], [self = shared_from_this(), next](auto bytes) {
-      if (!bytes) return self->handler(tl::make_unexpected(bytes.error()));
-      self->updates.notes.emplace_back(self->entries[next], std::move(*bytes));
-      self->ReadNextNote();
+  // With up to kSnapshotInterval notes and a platform that takes 500 ms for an answer, reading one
+  // after the other took longer than a publisher waits.
+  void ReadNotes() {
+    updates.notes.resize(entries.size());
+    if (entries.empty()) return handler(std::move(updates));
+    while (open < kMaxOpenReads && next < entries.size()) ReadNote(next++);
+  }
+
+  void ReadNote(size_t index) {
+    ++open;
+    ReadNoteBytes(client, entries[index], [self = shared_from_this(), index](auto bytes) {
+      self->OnNote(index, std::move(bytes));
     });
   }
+
+  void OnNote(size_t index, tl::expected<std::string, StoreError> bytes) {
+    --open;
+    if (failed) return;
+    if (!bytes) {
+      failed = true;
+      return handler(tl::make_unexpected(bytes.error()));
+    }
+    updates.notes[index] = {entries[index], std::move(*bytes)};
+    if (next < entries.size()) return ReadNote(next++);
+    if (open == 0) handler(std::move(updates));
+  }
 };
 
 // The notes decide; a differing digest shows a writer that applies them differently.
--- a/src/delivery_agent.cc
+++ b/src/delivery_agent.cc
@@ -9,6 +9,7 @@
 #include "delivery.h"
 #include "head_confirmer.h"
 #include "head_watcher.h"
+#include "keeper_exchange.h"
 #include "version_guard.h"
 
 namespace guavatrail {
@@ -37,8 +38,6 @@
 constexpr uint64_t kWatcherConfirmJitterMs = 400;
 constexpr int64_t kOtherConfirmMs = 3'000;
 constexpr uint64_t kOtherConfirmJitterMs = 4'000;
-// Bounds a peer's claim, so that it cannot overflow the arithmetic.
-constexpr uint64_t kMaxAgeMs = 1ULL << 40;
 constexpr int64_t kFirstBusyMs = 200;
 constexpr uint64_t kBusyJitterMs = 300;
 
@@ -69,9 +68,6 @@
   void OnNotesRequest(std::string_view node, const pb::NotesRequest& request);
   void OnNotesReply(std::string_view node, const pb::NotesReply& reply);
   void OnSnapshotPart(std::string_view node, const pb::NotesReply& reply);
-  void OnVersionPromise(std::string_view node, const pb::VersionPromise& promise);
-  void OnFloorQuery(std::string_view node, const pb::FloorQuery& query);
-  void OnFloorReply(std::string_view node, const pb::FloorReply& reply);
   void UpdateMembership();
 
   // The table. Returns whether it moved up.
@@ -97,7 +93,6 @@
   ConfigHead m_head;
   HeadObject m_last_read;  // With the bytes that a confirmation writes again.
   HeadConfirmer m_confirmer;
-  int64_t m_confirmed_ms = 0;  // The head was confirmed as current at this time or later; 0: never.
   int64_t m_head_current_ms;
   HeadWatcher m_watcher;
   int64_t m_poll_ms = INT64_MAX;   // When to read the head; INT64_MAX while it is not too old.
@@ -112,14 +107,11 @@
   NoteWindow m_window;
   SnapshotServer m_snapshots;
   std::map<std::string, uint64_t, std::less<>> m_announced;
-  // Start times (started_ms) of the members.
-  std::map<std::string, uint64_t, std::less<>> m_lifetimes;
   int64_t m_membership_ms = 0;  // When to look at the membership; INT64_MAX while nothing changed.
 
   GuardState m_guard;
-  const uint64_t m_floor_request_id;
+  KeeperExchange m_keepers;
   const uint64_t m_confirm_jitter;
-  PromiseBook m_promises;
   int64_t m_guard_next_ms = 0;
 
   Timer m_timer;
@@ -156,7 +148,10 @@
                  }}),
       m_pulls(settings.delivery.pull_timeout_ms),
       m_request_id(random.Next()),
-      m_floor_request_id(random.Next()),
+      m_keepers(m_guard, incarnation, random.Next(),
+                [this](std::string_view node, const pb::ControlMessage& message) {
+                  m_ports.send(node, message);
+                }),
       m_confirm_jitter(random.Next()),
       m_timer(loop, [this] { Step(); }),
       m_start(loop, [this] { m_watcher.ReadOnce(); }) {
@@ -184,8 +179,7 @@
 }
 
 void DeliveryAgent::Impl::OnHeadConfirmed(uint64_t version, int64_t sent_ms) {
-  m_confirmed_ms = std::max(m_confirmed_ms, sent_ms);
-  RecordConfirmedHead(m_guard, version);
+  m_keepers.RecordConfirmation(version, sent_ms);
   Step();
 }
 
@@ -367,48 +361,6 @@
   m_pulls.RecordBadReply();
 }
 
-void DeliveryAgent::Impl::OnVersionPromise(std::string_view node,
-                                           const pb::VersionPromise& promise) {
-  if (promise.keeper_started_ms() != m_incarnation) return;
-  m_promises.Record(node, promise.version());
-  pb::ControlMessage message;
-  message.mutable_promise_ack()->set_version(promise.version());
-  m_ports.send(node, message);
-}
-
-void DeliveryAgent::Impl::OnFloorQuery(std::string_view node, const pb::FloorQuery& query) {
-  pb::ControlMessage message;
-  pb::FloorReply* reply = message.mutable_floor_reply();
-  reply->set_request_id(query.request_id());
-  reply->set_floor(m_promises.Floor(node));
-  reply->set_version(m_in_force == nullptr ? 0 : m_in_force->version());
-  if (m_confirmed_ms != 0 && m_guard.confirmed) {
-    reply->set_is_head_confirmed(true);
-    reply->set_confirmed_version(*m_guard.confirmed);
-    reply->set_confirmed_age_ms(static_cast<uint64_t>(NowMs() - m_confirmed_ms));
-  }
-  reply->set_newly_started(!m_promises.KnowsPromisesOf(node));
-  m_ports.send(node, message);
-}
-
-void DeliveryAgent::Impl::OnFloorReply(std::string_view node, const pb::FloorReply& reply) {
-  // The id tells how long after the start of this lifetime the query was sent.
-  auto sent_after_ms = static_cast<int64_t>(reply.request_id() - m_floor_request_id);
-  int64_t lifetime_ms = NowMs() - m_guard.start_ms;
-  if (sent_after_ms < 0 || sent_after_ms > lifetime_ms) return;
-  // The replier counted the age after the query was sent, so the confirmation is at least this
-  // young; it counts if it was made in this lifetime.
-  int64_t confirmed_ms =
-      m_guard.start_ms + sent_after_ms -
-      static_cast<int64_t>(std::min<uint64_t>(reply.confirmed_age_ms(), kMaxAgeMs));
-  if (reply.is_head_confirmed() && confirmed_ms >= m_guard.start_ms) {
-    m_confirmed_ms = std::max(m_confirmed_ms, confirmed_ms);
-    RecordConfirmedHead(m_guard, reply.confirmed_version());
-  }
-  m_pulls.RecordTold(node, reply.version());
-  RecordFloorReply(m_guard, node, reply.floor(), reply.version(), reply.newly_started());
-}
-
 void DeliveryAgent::Impl::OnMessage(std::string_view node, const pb::ControlMessage& message) {
   switch (message.body_case()) {
     case pb::ControlMessage::kVersionAnnounce:
@@ -422,16 +374,19 @@
       OnNotesReply(node, message.notes_reply());
       break;
     case pb::ControlMessage::kVersionPromise:
-      OnVersionPromise(node, message.version_promise());
+      m_keepers.OnVersionPromise(node, message.version_promise());
       break;
     case pb::ControlMessage::kPromiseAck:
-      RecordPromiseAck(m_guard, node, message.promise_ack().version());
+      m_keepers.OnPromiseAck(node, message.promise_ack());
       break;
     case pb::ControlMessage::kFloorQuery:
-      OnFloorQuery(node, message.floor_query());
+      m_keepers.OnFloorQuery(node, message.floor_query(),
+                             m_in_force == nullptr ? 0 : m_in_force->version(), NowMs());
       break;
     case pb::ControlMessage::kFloorReply:
-      OnFloorReply(node, message.floor_reply());
+      if (m_keepers.OnFloorReply(node, message.floor_reply(), NowMs())) {
+        m_pulls.RecordTold(node, message.floor_reply().version());
+      }
       break;
     default:
       LOG_EVERY_N(WARNING, 100) << "event=unexpected_message node=" << node;
@@ -452,13 +407,9 @@
   const NodeSettings& self = m_settings.node;
   std::vector<pb::MemberRecord> members = m_ports.members();
   for (const pb::MemberRecord& member : members) {
-    uint64_t& lifetime = m_lifetimes[member.name()];
-    if (lifetime != 0 && lifetime != member.started_ms()) {
-      ForgetKeeper(m_guard, member.name());
-      m_announced.erase(member.name());
-      m_pulls.Forget(member.name());
-    }
-    lifetime = member.started_ms();
+    if (!m_keepers.RecordLifetime(member.name(), member.started_ms())) continue;
+    m_announced.erase(member.name());
+    m_pulls.Forget(member.name());
   }
   auto watchers = static_cast<size_t>(m_settings.delivery.watchers_per_data_centre);
   Roles roles = ChooseRoles(members, {self.name, self.data_centre}, watchers);
@@ -473,17 +424,7 @@
 void DeliveryAgent::Impl::StepVersionGuard(int64_t now_ms) {
   GuardActions actions = StepGuard(m_guard, now_ms);
   m_guard_next_ms = actions.next_ms;
-  pb::ControlMessage query;
-  query.mutable_floor_query()->set_request_id(m_floor_request_id +
-                                              static_cast<uint64_t>(now_ms - m_guard.start_ms));
-  for (const std::string& node : actions.query) m_ports.send(node, query);
-  pb::ControlMessage promise;
-  promise.mutable_version_promise()->set_incarnation(m_incarnation);
-  promise.mutable_version_promise()->set_version(actions.promise_version);
-  for (const std::string& node : actions.promise_to) {
-    promise.mutable_version_promise()->set_keeper_started_ms(m_lifetimes[node]);
-    m_ports.send(node, promise);
-  }
+  m_keepers.Perform(actions, now_ms);
   if (actions.confirm_head) m_confirmer.Confirm(m_last_read);
   if (!actions.in_force_changed) return;
   m_in_force = m_held;
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -218,6 +218,11 @@
   if (entry != m_entries.end()) m_entries.erase(entry);
 }
 
+int64_t LoadTracker::ReportedServiceUs(std::string_view node) const {
+  auto it = m_entries.find(node);
+  return it == m_entries.end() ? 0 : it->second.load.service_us;
+}
+
 void LoadTracker::Fill(PlacementCandidate& candidate, int64_t now_us) const {
   auto entry = m_entries.find(candidate.node);
   if (entry == m_entries.end()) return;
--- a/src/placement.h
+++ b/src/placement.h
@@ -116,6 +116,8 @@
   // Forgets a server that left or has another incarnation.
   void Forget(std::string_view node);
 
+  // Typical service time that the server last reported; 0 if unknown.
+  int64_t ReportedServiceUs(std::string_view node) const;
   // Fills every field of `candidate` but node, data_centre and slots; sets `avoid` while the server
   // asked to be left alone.
   void Fill(PlacementCandidate& candidate, int64_t now_us) const;
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -8,6 +8,11 @@
 
 constexpr int64_t kDrainAvoidMs = 5'000;
 
+bool IsLive(const Endpoint& endpoint) {
+  bool is_member = endpoint.state == MemberState::kAlive || endpoint.state == MemberState::kSuspect;
+  return is_member && !endpoint.draining;
+}
+
 bool IsUsable(const Endpoint& endpoint, MemberState state, const std::set<std::string>& excluded) {
   return endpoint.state == state && !endpoint.draining && !excluded.contains(endpoint.node);
 }
@@ -45,7 +50,9 @@
       m_tracker.Forget(endpoint.node);
     }
     m_tracker.Seen(endpoint.node, now_us);
-    by_service[endpoint.service].push_back(endpoint.node);
+    // Servers that get no calls must not count when at most half of a service is put aside.
+    std::vector<std::string_view>& usable = by_service[endpoint.service];
+    if (IsLive(endpoint)) usable.push_back(endpoint.node);
   }
   for (const Endpoint& before : m_endpoints->all()) {
     if (endpoints->FindNode(before.node) == nullptr) m_tracker.Forget(before.node);
@@ -114,7 +121,13 @@
 void ServerPicker::Answered(std::string_view service, std::string_view kind, std::string_view node,
                             int64_t service_us, int64_t latency_us, int64_t now_us) {
   Service& state = ServiceOf(service);
-  guavatrail::Answered(state.outliers, {.node = node, .kind = kind, .service_us = service_us},
+  // At a low rate of calls an entry node sees too few answers of its own; the node beside the
+  // server has seen them all.
+  guavatrail::Answered(state.outliers,
+                       {.node = node,
+                        .kind = kind,
+                        .service_us = service_us,
+                        .reported_service_us = m_tracker.ReportedServiceUs(node)},
                        now_us);
   guavatrail::Answered(state.hedges, kind, latency_us, now_us);
 }
