Move the load tool, the control plane bench and the measurements out of the tests

Cause: they are tools that operators and developers run, not tests, and they stood in the test tree.

--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 name="${1:?usage: tools/bench.sh NAME [arguments]}"
 shift
-[ -f "test/bench/$name.py" ] || { echo "no measurement named $name in test/bench" >&2; exit 2; }
+[ -f "tools/bench/$name.py" ] || { echo "no measurement named $name in tools/bench" >&2; exit 2; }
 tools/build.sh build
-exec python3 "test/bench/$name.py" --build build "$@"
+exec python3 "tools/bench/$name.py" --build build "$@"
--- a/test/bench/calls.py
+++ b/tools/bench/calls.py
@@ -74,7 +74,7 @@
 
     def load(self, run, policy, targets, kinds, phases, *arguments):
         """Runs the load tool to its end; the results by kind."""
-        command = [str(self.options.build / "test" / "caller_load"), "--json", "-",
+        command = [str(self.options.build / "caller_load"), "--json", "-",
                    "--seed", str(self.options.seed), *arguments]
         for target in targets:
             command += ["--target", target]
