Share the description of TOML values between notes and settings

Cause: settings.cc and release_note.cc held the same function, and settings.cc its own copy of the rule for names. Change: toml_value.{h,cc}; settings use IsConfigName.

--- a/src/release_note.cc
+++ b/src/release_note.cc
@@ -1,12 +1,12 @@
 #include "release_note.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <fstream>
 #include <optional>
 #include <sstream>
 
+#include "toml_value.h"
+
 namespace guavatrail {
 
 namespace {
@@ -19,22 +19,6 @@
 constexpr std::string_view kTypeAllowed = "one of \"service\" \"work\" \"route\"";
 constexpr std::string_view kArrayAllowed = "an array of tables";
 
-std::string Found(const toml::node& node) {
-  std::ostringstream out;
-  if (auto text = node.value_exact<std::string>()) {
-    out << '"' << *text << '"';
-  } else if (auto integer = node.value_exact<int64_t>()) {
-    out << *integer;
-  } else if (auto real = node.value_exact<double>()) {
-    out << *real;
-  } else if (auto flag = node.value_exact<bool>()) {
-    out << (*flag ? "true" : "false");
-  } else {
-    out << "a value of another type";
-  }
-  return out.str();
-}
-
 bool IsText(std::string_view text) { return text.size() <= kMaxTextLength; }
 
 // Reads the keys of one TOML table and keeps the first error. Finish() reports the keys that no
@@ -139,8 +123,9 @@
   }
 
   void Refuse(std::string_view key, const toml::node& node, std::string_view allowed) {
-    Fail(node.source().begin.line, m_prefix + std::string(key) + ": found " + Found(node) +
-                                       ", allowed is " + std::string(allowed));
+    Fail(node.source().begin.line, m_prefix + std::string(key) + ": found " +
+                                       DescribeTomlValue(node) + ", allowed is " +
+                                       std::string(allowed));
   }
 
   const toml::table& m_table;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -1,7 +1,6 @@
 #include "settings.h"
 
 #include <arpa/inet.h>
-#include <toml++/toml.h>
 
 #include <fstream>
 #include <functional>
@@ -9,6 +8,9 @@
 #include <sstream>
 #include <variant>
 
+#include "config_table.h"
+#include "toml_value.h"
+
 namespace guavatrail {
 
 namespace {
@@ -131,16 +133,6 @@
 #undef GUAVATRAIL_REAL
 #undef GUAVATRAIL_TEXT
 
-bool IsName(std::string_view text) {
-  constexpr size_t kMaxNameLength = 63;
-  if (text.empty() || text.size() > kMaxNameLength) return false;
-  for (char c : text) {
-    bool ok = (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
-    if (!ok) return false;
-  }
-  return true;
-}
-
 bool IsIp(const std::string& text) {
   in_addr v4{};
   in6_addr v6{};
@@ -190,26 +182,10 @@
   return std::visit(Describer{}, rule);
 }
 
-std::string Found(const toml::node& node) {
-  std::ostringstream out;
-  if (auto text = node.value_exact<std::string>()) {
-    out << '"' << *text << '"';
-  } else if (auto integer = node.value_exact<int64_t>()) {
-    out << *integer;
-  } else if (auto real = node.value_exact<double>()) {
-    out << *real;
-  } else if (auto flag = node.value_exact<bool>()) {
-    out << (*flag ? "true" : "false");
-  } else {
-    out << "a value of another type";
-  }
-  return out.str();
-}
-
 bool TextAllowed(const TextRule& rule, const std::string& text) {
   switch (rule.kind) {
     case TextKind::kName:
-      return IsName(text);
+      return IsConfigName(text);
     case TextKind::kIp:
       return IsIp(text);
     case TextKind::kAny:
@@ -282,9 +258,9 @@
       return tl::make_unexpected(ErrorAt(file, key.source().begin.line, "unknown key " + full));
     }
     if (!Store(node, *spec, settings)) {
-      return tl::make_unexpected(
-          ErrorAt(file, node.source().begin.line,
-                  full + ": found " + Found(node) + ", allowed is " + Describe(spec->rule)));
+      return tl::make_unexpected(ErrorAt(
+          file, node.source().begin.line,
+          full + ": found " + DescribeTomlValue(node) + ", allowed is " + Describe(spec->rule)));
     }
     seen.insert(spec);
   }
