Spread confirmations and first seed checks when a whole fleet starts

Cause: 144 nodes that started together took 10.8 s and 1,744 platform calls. Their logs show one confirmed head every 0.53 s: all nodes whose conditional write failed tried again after the same 500 ms, and one succeeded each time. Each node also read all seed lists 1 to 2 s after its start. Change: the delay of a repetition is 100 to 800 ms at random; the first confirmation of nodes that are not watchers and the first check of the seed lists are spread over the size of the fleet (10 and 100 ms a member).

--- a/src/delivery_agent.cc
+++ b/src/delivery_agent.cc
@@ -31,13 +31,6 @@
 constexpr int64_t kMembershipDelayMs = 20;
 constexpr int64_t kFirstFetchBackoffMs = 200;
 constexpr int64_t kLongestFetchBackoffMs = 5'000;
-// When nodes that start together without their keepers' answers have the head confirmed: first the
-// watchers, a few in each data centre, then the others, unless they have heard of a confirmation.
-// 550 conditional writes of one object at once would nearly all fail.
-constexpr int64_t kWatcherConfirmMs = 400;
-constexpr uint64_t kWatcherConfirmJitterMs = 400;
-constexpr int64_t kOtherConfirmMs = 3'000;
-constexpr uint64_t kOtherConfirmJitterMs = 4'000;
 constexpr int64_t kFirstBusyMs = 200;
 constexpr uint64_t kBusyJitterMs = 300;
 
@@ -156,6 +149,7 @@
       m_timer(loop, [this] { Step(); }),
       m_start(loop, [this] { m_watcher.ReadOnce(); }) {
   m_guard.start_ms = NowMs();
+  m_guard.timing.confirm_repeat_ms = ConfirmRepeatMs(m_random);
 }
 
 void DeliveryAgent::Impl::Start() {
@@ -417,15 +411,17 @@
   SetKeepers(m_guard, std::move(roles.keepers), std::move(roles.floor_keepers));
   m_watcher.SetWatching(m_watch_all || roles.is_watcher);
   m_guard.timing.confirm_after_ms =
-      roles.is_watcher ? kWatcherConfirmMs + m_confirm_jitter % kWatcherConfirmJitterMs
-                       : kOtherConfirmMs + m_confirm_jitter % kOtherConfirmJitterMs;
+      ConfirmAfterMs(roles.is_watcher, members.size(), m_confirm_jitter);
 }
 
 void DeliveryAgent::Impl::StepVersionGuard(int64_t now_ms) {
   GuardActions actions = StepGuard(m_guard, now_ms);
   m_guard_next_ms = actions.next_ms;
   m_keepers.Perform(actions, now_ms);
-  if (actions.confirm_head) m_confirmer.Confirm(m_last_read);
+  if (actions.confirm_head) {
+    m_guard.timing.confirm_repeat_ms = ConfirmRepeatMs(m_random);
+    m_confirmer.Confirm(m_last_read);
+  }
   if (!actions.in_force_changed) return;
   m_in_force = m_held;
   LOG(INFO) << "event=version_in_force version=" << m_in_force->version()
--- a/src/head_confirmer.cc
+++ b/src/head_confirmer.cc
@@ -4,6 +4,28 @@
 
 namespace guavatrail {
 
+namespace {
+
+constexpr uint64_t kWatcherMs = 400;
+constexpr uint64_t kWatcherJitterMs = 400;
+constexpr uint64_t kOtherMs = 1'000;
+constexpr uint64_t kOtherPerMemberMs = 10;
+// With one fixed delay all nodes whose writes failed tried again in step, and one of them succeeded
+// each time: a fleet of 144 took 11 s to restart.
+constexpr int64_t kRepeatMs = 100;
+constexpr uint64_t kRepeatJitterMs = 700;
+
+}  // namespace
+
+int64_t ConfirmAfterMs(bool is_watcher, size_t members, uint64_t jitter) {
+  if (is_watcher) return static_cast<int64_t>(kWatcherMs + jitter % kWatcherJitterMs);
+  return static_cast<int64_t>(kOtherMs + jitter % ((members + 1) * kOtherPerMemberMs));
+}
+
+int64_t ConfirmRepeatMs(RandomSource& random) {
+  return kRepeatMs + static_cast<int64_t>(random.Below(kRepeatJitterMs));
+}
+
 void HeadConfirmer::Confirm(const HeadObject& object) {
   if (m_busy) return;
   m_busy = true;
--- a/src/head_confirmer.h
+++ b/src/head_confirmer.h
@@ -8,9 +8,17 @@
 
 #include "config_store.h"
 #include "platform_client.h"
+#include "random_source.h"
 
 namespace guavatrail {
 
+// When a node without its keepers' answers has the head confirmed, in ms after its start: first the
+// watchers, then the others unless they have heard of a confirmation from after their start, spread
+// to about 100 writes a second. `jitter` is a random number that stays the same over a lifetime.
+int64_t ConfirmAfterMs(bool is_watcher, size_t members, uint64_t jitter);
+// Delay in ms until a confirmation that failed is tried again.
+int64_t ConfirmRepeatMs(RandomSource& random);
+
 class HeadConfirmer {
  public:
   struct Handlers {
--- a/src/joiner.cc
+++ b/src/joiner.cc
@@ -27,6 +27,9 @@
 constexpr int64_t kCheckPerMemberMs = 2000;
 constexpr int64_t kMinCheckMs = 10'000;
 constexpr int64_t kFirstCheckMs = 1000;
+// When a whole fleet starts at once, its first checks are spread so that they make about 10 a
+// second.
+constexpr uint64_t kFirstCheckPerMemberMs = 100;
 constexpr int kLogPeriodS = 10;
 
 }  // namespace
@@ -75,6 +78,12 @@
 // data centre when a place is free.
 void Joiner::Check() {
   if (m_is_stopped) return;
+  if (!m_has_spread && m_has_joined) {
+    m_has_spread = true;
+    auto members = static_cast<uint64_t>(m_ports.live_members());
+    m_check_timer.Start(milliseconds(m_random.Below(members * kFirstCheckPerMemberMs + 1)));
+    return;
+  }
   if (m_has_joined || m_ports.should_be_seed()) ReadOwnList();
   if (m_has_joined) {
     ContactSome(m_options.seeds, 1);
--- a/src/joiner.h
+++ b/src/joiner.h
@@ -71,6 +71,7 @@
   Timer m_check_timer;
   int m_attempts = 0;
   bool m_has_joined = false;
+  bool m_has_spread = false;  // The first check has been put off.
   bool m_is_stopped = false;
   // Times that an unknown address was contacted; reset when it becomes known.
   std::map<std::string, int> m_unanswered;
