--- a/src/delivery_agent.cc
+++ b/src/delivery_agent.cc
@@ -69,9 +69,7 @@
   void StepVersionGuard(int64_t now_ms);
   void Step();
 
-  EventLoop& m_loop;
   const Settings m_settings;
-  const uint64_t m_incarnation;
   PlatformClient& m_platform;
   Metrics& m_metrics;
   RandomSource& m_random;
@@ -116,9 +114,7 @@
 DeliveryAgent::Impl::Impl(EventLoop& loop, const Settings& settings, uint64_t incarnation,
                           PlatformClient& platform, Metrics& metrics, RandomSource& random,
                           DeliveryPorts ports)
-    : m_loop(loop),
-      m_settings(settings),
-      m_incarnation(incarnation),
+    : m_settings(settings),
       m_platform(platform),
       m_metrics(metrics),
       m_random(random),
--- a/src/version_guard.cc
+++ b/src/version_guard.cc
@@ -49,7 +49,7 @@
   }
   for (const std::string& name : asked) {
     KeeperState& keeper = StateOf(guard, name);
-    // A newly started keeper is asked again, since its answer changes with time.
+    // A keeper without a record is asked again, since it may hear of a confirmed head.
     if (keeper.answered && !keeper.newly_started) continue;
     if (IsMessageDue(guard, keeper, now_ms)) actions.query.push_back(name);
     actions.next_ms = std::min(actions.next_ms, keeper.next_message_ms);
--- a/src/version_guard.h
+++ b/src/version_guard.h
@@ -6,7 +6,7 @@
 // A node that has started asks its keepers for the floor, the highest version promised to them, and
 // serves once one of these holds:
 //  (a) it has read the head from the platform in this lifetime or cannot reach the platform, and a
-//      quorum of its keepers, none of them newly started, has answered;
+//      quorum of its keepers that have a promise of it on record has answered;
 //  (b) the head has been confirmed as current since the node started, by a conditional write of
 //  this
 //      node or of one that told it;
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -101,9 +101,7 @@
   std::unique_ptr<FakeClient> Send(const std::string& method, const std::string& path,
                                    const std::string& headers = "", const std::string& body = "") {
     auto client = std::make_unique<FakeClient>(m_loop, m_entry->port());
-    std::string text = method + " " + path + " HTTP/1.1\r\nHost: a\r\n" + headers;
-    if (method == "POST") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    client->Send(text + "\r\n" + body);
+    client->Send(RequestText(method, path, headers, body));
     return client;
   }
 
--- a/test/support/fake_server.cc
+++ b/test/support/fake_server.cc
@@ -224,4 +224,11 @@
 
 std::string FakeClient::body() const { return WholeBody(m_received).value_or(""); }
 
+std::string RequestText(const std::string& method, const std::string& path,
+                        const std::string& headers, const std::string& body) {
+  std::string text = method + " " + path + " HTTP/1.1\r\nHost: a\r\n" + headers;
+  if (method == "POST") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  return text + "\r\n" + body;
+}
+
 }  // namespace guavatrail
--- a/test/support/fake_server.h
+++ b/test/support/fake_server.h
@@ -112,4 +112,8 @@
   bool m_reset = false;
 };
 
+// An HTTP/1.1 request; a POST gets its Content-Length.
+std::string RequestText(const std::string& method, const std::string& path,
+                        const std::string& headers, const std::string& body);
+
 }  // namespace guavatrail
