--- a/apps/guavatraild.cc
+++ b/apps/guavatraild.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "event_loop.h"
+#include "mesh_node.h"
 #include "node.h"
 #include "settings.h"
 
@@ -59,9 +60,23 @@
   }
 }
 
-int RunNode(const guavatrail::Settings& settings) {
+// Takes over what can change while a node runs. Whatever else has changed holds from the next
+// start.
+void Reload(const std::string& file, const guavatrail::Settings& before) {
+  auto settings = guavatrail::LoadSettings(file);
+  if (!settings) {
+    LOG(ERROR) << "event=reload_refused error=\"" << settings.error().message << "\"";
+    return;
+  }
+  FLAGS_minloglevel = static_cast<int>(settings->log.level);
+  LOG(INFO) << "event=reloaded file=" << file << " log_level=" << settings->log.level
+            << " needs_restart=" << !guavatrail::IsSameButForLog(*settings, before);
+}
+
+template <typename NodeType>
+int RunNode(const std::string& file, const guavatrail::Settings& settings) {
   guavatrail::EventLoop loop;
-  guavatrail::Node node(loop, settings);
+  NodeType node(loop, settings);
   auto started = node.Start();
   if (!started) {
     LOG(ERROR) << "event=start_failed node=" << settings.node.name << " error=\""
@@ -70,14 +85,25 @@
   }
   loop.OnSignal(SIGTERM, [&node] { node.Stop(); });
   loop.OnSignal(SIGINT, [&node] { node.Stop(); });
+  loop.OnSignal(SIGHUP, [&file, &settings] { Reload(file, settings); });
   loop.Run();
   LOG(INFO) << "event=stopped node=" << settings.node.name;
   return kExitDone;
 }
 
+int RunNodeFor(const std::string& file, const guavatrail::Settings& settings) {
+  if (settings.platform.api == "metadata_store") {
+    return RunNode<guavatrail::platform::MeshNode>(file, settings);
+  }
+  return RunNode<guavatrail::Node>(file, settings);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
+  // A signal to reload that comes before the loop runs must not end the process; the settings are
+  // read afterwards.
+  std::signal(SIGHUP, SIG_IGN);
   Arguments arguments;
   bool end = false;
   int code = ParseArguments(argc, argv, arguments, end);
@@ -101,5 +127,5 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   StartLogging(settings->log);
-  return RunNode(*settings);
+  return RunNodeFor(arguments.settings_file, *settings);
 }
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -14,6 +14,11 @@
 // capacity a margin of 1 lets 4.4% of long requests end late, 1.5 lets 2.2%.
 constexpr double kServiceMargin = 1.5;
 
+int64_t ObjectiveOf(const AdmissionRequest& request) {
+  bool has_objective = request.objective_us > 0 && request.objective_us < request.deadline_us;
+  return has_objective ? request.objective_us : request.deadline_us;
+}
+
 AdmissionDecision Decide(AdmissionDecision::Action action) { return {.action = action}; }
 
 }  // namespace
@@ -33,7 +38,9 @@
     Start(request, now_us);
     return Decide(Action::kRun);
   }
-  if (WouldMissDeadline(request, PredictedWaitUs(request, now_us), now_us)) {
+  bool is_late = WouldMiss(ObjectiveOf(request), request.is_short, 0, now_us);
+  int64_t limit_us = is_late ? request.deadline_us : ObjectiveOf(request);
+  if (WouldMiss(limit_us, request.is_short, PredictedWaitUs(request, now_us), now_us)) {
     return {.action = Action::kRefuse, .retry_after_ms = RetryAfterMs(now_us)};
   }
   AdmissionDecision decision = Decide(Action::kQueue);
@@ -45,7 +52,7 @@
     decision.evicted.push_back({last->second.id, RetryAfterMs(now_us)});
     Dequeue(last);
   }
-  Enqueue(request);
+  Enqueue(request, is_late);
   return decision;
 }
 
@@ -80,7 +87,7 @@
 AdmissionChanges SlotAdmission::Expire(int64_t now_us) {
   AdmissionChanges changes;
   for (auto entry = m_queue.begin(); entry != m_queue.end();) {
-    if (WouldMissDeadline(entry->second, 0, now_us)) {
+    if (WouldMiss(entry->second.deadline_us, entry->second.is_short, 0, now_us)) {
       changes.refuse.push_back({entry->second.id, 0});
       entry = Dequeue(entry);
     } else {
@@ -100,7 +107,7 @@
 
 int64_t SlotAdmission::PredictedWaitUs(const AdmissionRequest& request, int64_t now_us) const {
   Remaining work = RemainingOfRunning(now_us);
-  Rank rank{-request.importance, request.deadline_us, m_next_sequence};
+  Rank rank = RankOf(request, WouldMiss(ObjectiveOf(request), request.is_short, 0, now_us));
   for (const auto& [other, entry] : m_queue) {
     if (rank < other) break;
     (entry.is_short ? work.short_us : work.long_us) += EstimateOf(entry.is_short).typical_us();
@@ -134,10 +141,20 @@
   return is_short || m_running_long < m_long_limit;
 }
 
-bool SlotAdmission::WouldMissDeadline(const AdmissionRequest& request, int64_t wait_us,
-                                      int64_t now_us) const {
-  auto service_us = static_cast<double>(EstimateOf(request.is_short).typical_us());
-  return now_us + wait_us + static_cast<int64_t>(kServiceMargin * service_us) > request.deadline_us;
+bool SlotAdmission::WouldMiss(int64_t limit_us, bool is_short, int64_t wait_us,
+                              int64_t now_us) const {
+  auto service_us = static_cast<double>(EstimateOf(is_short).typical_us());
+  return now_us + wait_us + static_cast<int64_t>(kServiceMargin * service_us) > limit_us;
+}
+
+SlotAdmission::Rank SlotAdmission::RankOf(const AdmissionRequest& request, bool is_late) const {
+  int64_t limit_us = is_late ? request.deadline_us : ObjectiveOf(request);
+  return {is_late, -request.importance, limit_us, m_next_sequence};
+}
+
+void SlotAdmission::SetSlots(int slots) {
+  m_options.slots = slots;
+  m_long_limit = std::max(1, slots - m_options.reserved_short_slots);
 }
 
 SlotAdmission::Remaining SlotAdmission::RemainingOfRunning(int64_t now_us) const {
@@ -164,12 +181,19 @@
   if (!request.is_short) ++m_running_long;
 }
 
-void SlotAdmission::Enqueue(const AdmissionRequest& request) {
-  Rank rank{-request.importance, request.deadline_us, m_next_sequence++};
+void SlotAdmission::Enqueue(const AdmissionRequest& request, bool is_late) {
+  Rank rank = RankOf(request, is_late);
+  ++m_next_sequence;
   m_queue.emplace(rank, request);
   m_queued_ranks.emplace(request.id, rank);
 }
 
+void SlotAdmission::Demote(Queue::iterator entry) {
+  AdmissionRequest request = entry->second;
+  Dequeue(entry);
+  Enqueue(request, true);
+}
+
 SlotAdmission::Queue::iterator SlotAdmission::Dequeue(Queue::iterator entry) {
   m_queued_ranks.erase(entry->second.id);
   return m_queue.erase(entry);
@@ -184,10 +208,14 @@
   auto entry = m_queue.begin();
   while (entry != m_queue.end() && static_cast<int>(m_running.size()) < m_options.slots) {
     const AdmissionRequest& request = entry->second;
-    if (WouldMissDeadline(request, 0, now_us)) {
+    bool is_late = std::get<0>(entry->first);
+    if (WouldMiss(request.deadline_us, request.is_short, 0, now_us)) {
       // Running it would take a slot from a request that can still be answered in time.
       changes.refuse.push_back({request.id, 0});
       entry = Dequeue(entry);
+    } else if (!is_late && WouldMiss(ObjectiveOf(request), request.is_short, 0, now_us)) {
+      Demote(entry);
+      entry = m_queue.begin();
     } else if (HasSlotFor(request.is_short)) {
       Start(request, now_us);
       changes.start.push_back(request.id);
--- a/src/admission.h
+++ b/src/admission.h
@@ -21,6 +21,8 @@
   bool is_short = true;
   int64_t deadline_us = 0;  // Point in time.
   int64_t arrival_us = 0;   // Point in time.
+  // Point in time until which an answer is of full use to the caller; 0: the deadline.
+  int64_t objective_us = 0;
 };
 
 // A request that was not run and never will be.
@@ -55,7 +57,10 @@
 };
 
 // A fixed number of slots, some of which long work may not use, and a bounded queue ordered by
-// importance, then earliest deadline. A request is refused at once when it would miss its deadline.
+// importance, then earliest objective. Answers that a burst of requests has to wait for in turn
+// would all be late; so a request is refused at once when it would miss its objective, and one that
+// has missed it in the queue, or came after it, waits behind all that can still be in time, as long
+// as it can meet its deadline.
 class SlotAdmission {
  public:
   struct Options {
@@ -74,12 +79,14 @@
   AdmissionLoad load() const;
   // Predicted wait in microseconds of `request` if it were queued now.
   int64_t PredictedWaitUs(const AdmissionRequest& request, int64_t now_us) const;
+  void SetSlots(int slots);
   // Predicted time in microseconds until the running and queued work is done.
   int64_t PredictedDrainUs(int64_t now_us) const;
 
  private:
-  // Negated importance, deadline, sequence number: the order of the queue.
-  using Rank = std::tuple<int, int64_t, uint64_t>;
+  // Whether late, negated importance, objective or deadline, sequence number: the order of the
+  // queue.
+  using Rank = std::tuple<bool, int, int64_t, uint64_t>;
   struct Running {
     bool is_short = true;
     int64_t start_us = 0;
@@ -95,11 +102,13 @@
 
   const ServiceTimeEstimate& EstimateOf(bool is_short) const;
   bool HasSlotFor(bool is_short) const;
-  bool WouldMissDeadline(const AdmissionRequest& request, int64_t wait_us, int64_t now_us) const;
+  bool WouldMiss(int64_t limit_us, bool is_short, int64_t wait_us, int64_t now_us) const;
+  Rank RankOf(const AdmissionRequest& request, bool is_late) const;
   Remaining RemainingOfRunning(int64_t now_us) const;
   int64_t RetryAfterMs(int64_t now_us) const;
   void Start(const AdmissionRequest& request, int64_t now_us);
-  void Enqueue(const AdmissionRequest& request);
+  void Enqueue(const AdmissionRequest& request, bool is_late);
+  void Demote(Queue::iterator entry);
   Queue::iterator Dequeue(Queue::iterator entry);
   void EndRunning(std::unordered_map<uint64_t, Running>::iterator entry);
   void StartQueued(int64_t now_us, AdmissionChanges& changes);
--- a/src/config_codec.cc
+++ b/src/config_codec.cc
@@ -33,6 +33,9 @@
       work->set_importance(r.importance);
       work->set_is_short(r.is_short);
       work->set_key_per_request(r.key == KeyMode::kPerRequest);
+      // The usual number is not written, so that notes without it keep their digests.
+      if (r.attempts != WorkKind().attempts) work->set_attempts(r.attempts);
+      work->set_objective_ms(r.objective_ms);
       return out;
     }
     pb::Resource operator()(const Route& r) const {
@@ -41,6 +44,12 @@
       out.mutable_route()->set_path_prefix(r.path_prefix);
       out.mutable_route()->set_service(r.service);
       out.mutable_route()->set_work(r.work);
+      out.mutable_route()->set_host(r.host);
+      for (const RouteShare& share : r.shares) {
+        pb::RouteShare* added = out.mutable_route()->add_shares();
+        added->set_service(share.service);
+        added->set_weight(share.weight);
+      }
       return out;
     }
   };
@@ -56,11 +65,17 @@
     case pb::Resource::kWorkKind: {
       const pb::WorkKind& r = message.work_kind();
       KeyMode key = r.key_per_request() ? KeyMode::kPerRequest : KeyMode::kRequired;
-      return WorkKind{r.name(), r.deadline_ms(), r.idempotent(), r.importance(), r.is_short(), key};
+      int attempts = r.attempts() == 0 ? WorkKind().attempts : r.attempts();
+      return WorkKind{r.name(), r.deadline_ms(), r.idempotent(),  r.importance(), r.is_short(),
+                      key,      attempts,        r.objective_ms()};
     }
     case pb::Resource::kRoute: {
       const pb::Route& r = message.route();
-      return Route{r.name(), r.path_prefix(), r.service(), r.work()};
+      Route route{r.name(), r.path_prefix(), r.service(), r.work(), r.host(), {}};
+      for (const pb::RouteShare& share : r.shares()) {
+        route.shares.push_back({share.service(), share.weight()});
+      }
+      return route;
     }
     case pb::Resource::RESOURCE_NOT_SET:
       break;
--- a/src/config_table.cc
+++ b/src/config_table.cc
@@ -40,6 +40,16 @@
                 "importance is " + std::to_string(work.importance) +
                     ", allowed is an integer from 0 to " + std::to_string(kMaxImportance));
   }
+  if (work.attempts < 1 || work.attempts > kMaxAttempts) {
+    return Fail(Code::kInvalidValue, ref,
+                "attempts is " + std::to_string(work.attempts) +
+                    ", allowed is an integer from 1 to " + std::to_string(kMaxAttempts));
+  }
+  if (work.objective_ms < 0 || work.objective_ms > kMaxDeadlineMs) {
+    return Fail(Code::kInvalidValue, ref,
+                "objective_ms is " + std::to_string(work.objective_ms) +
+                    ", allowed is an integer from 0 to " + std::to_string(kMaxDeadlineMs));
+  }
   return {};
 }
 
@@ -50,16 +60,20 @@
   }
   if (!IsConfigName(route.service)) return Fail(Code::kInvalidValue, ref, "service is not a name");
   if (!IsConfigName(route.work)) return Fail(Code::kInvalidValue, ref, "work is not a name");
+  if (route.host.size() > kMaxHostLength) {
+    return Fail(Code::kInvalidValue, ref, "host is over 253 bytes");
+  }
+  if (route.shares.size() > kMaxShares) {
+    return Fail(Code::kInvalidValue, ref, "has more than 64 shares");
+  }
+  for (const RouteShare& share : route.shares) {
+    if (!IsConfigName(share.service) || share.weight < 0 || share.weight > kMaxWeight) {
+      return Fail(Code::kInvalidValue, ref, "a share is not allowed");
+    }
+  }
   return {};
 }
 
-// Whether `path` is `prefix` or continues it after a slash, so that /manuais does not take
-// /manuais-antigos.
-bool IsBelow(std::string_view path, std::string_view prefix) {
-  if (!path.starts_with(prefix)) return false;
-  return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/';
-}
-
 std::string_view TypeName(ResourceType type) {
   switch (type) {
     case ResourceType::kService:
@@ -168,20 +182,36 @@
   return it == m_work_kinds.end() ? nullptr : &it->second;
 }
 
-const Route* ConfigTable::MatchRoute(std::string_view path) const {
-  const Route* best = nullptr;
-  for (const auto& [name, route] : m_routes) {
-    if (!IsBelow(path, route.path_prefix)) continue;
-    if (best == nullptr || route.path_prefix.size() > best->path_prefix.size()) best = &route;
+// Prefixes match whole segments only, so that /manuais does not take /manuais-antigos: only the
+// path itself and its parts up to a slash, with or without it, can be prefixes.
+const Route* ConfigTable::LongestPrefix(std::string_view host, std::string_view path) const {
+  auto of_host = m_prefixes.find(host);
+  if (of_host == m_prefixes.end()) return nullptr;
+  const auto& prefixes = of_host->second;
+  auto find = [&](std::string_view prefix) -> const Route* {
+    auto it = prefixes.find(prefix);
+    return it == prefixes.end() ? nullptr : &m_routes.find(it->second)->second;
+  };
+  if (const Route* route = find(path); route != nullptr) return route;
+  for (size_t slash = path.rfind('/'); slash != std::string_view::npos;
+       slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
+    if (const Route* route = find(path.substr(0, slash + 1)); route != nullptr) return route;
+    if (slash == 0) break;
+    if (const Route* route = find(path.substr(0, slash)); route != nullptr) return route;
   }
-  return best;
+  return nullptr;
+}
+
+const Route* ConfigTable::MatchRoute(std::string_view path, std::string_view host) const {
+  const Route* route = host.empty() ? nullptr : LongestPrefix(host, path);
+  return route != nullptr ? route : LongestPrefix("", path);
 }
 
 tl::expected<void, ConfigError> ConfigTable::Validate() const {
   for (const Resource& resource : Resources()) {
     if (auto valid = ValidateResource(resource); !valid) return valid;
   }
-  std::map<std::string_view, std::string_view> prefixes;
+  std::map<std::pair<std::string_view, std::string_view>, std::string_view> prefixes;
   for (const auto& [name, route] : m_routes) {
     ResourceRef ref{ResourceType::kRoute, name};
     if (FindService(route.service) == nullptr) {
@@ -192,7 +222,13 @@
       return Fail(Code::kDanglingReference, ref, "work/" + route.work + " does not exist",
                   ResourceRef{ResourceType::kWorkKind, route.work});
     }
-    auto [other, inserted] = prefixes.emplace(route.path_prefix, name);
+    for (const RouteShare& share : route.shares) {
+      if (FindService(share.service) != nullptr) continue;
+      return Fail(Code::kDanglingReference, ref, "service/" + share.service + " does not exist",
+                  ResourceRef{ResourceType::kService, share.service});
+    }
+    auto [other, inserted] = prefixes.emplace(
+        std::pair<std::string_view, std::string_view>(route.host, route.path_prefix), name);
     if (!inserted) {
       return Fail(Code::kDuplicate, ref,
                   "path_prefix " + route.path_prefix + " is already that of route/" +
@@ -220,7 +256,11 @@
     ConfigTable& table;
     void operator()(const Service& r) const { table.m_services[r.name] = r; }
     void operator()(const WorkKind& r) const { table.m_work_kinds[r.name] = r; }
-    void operator()(const Route& r) const { table.m_routes[r.name] = r; }
+    void operator()(const Route& r) const {
+      table.Erase(RefOf(r));
+      table.m_routes[r.name] = r;
+      table.m_prefixes[r.host][r.path_prefix] = r.name;
+    }
   };
   std::visit(Visitor{*this}, resource);
 }
@@ -234,11 +274,22 @@
       m_work_kinds.erase(ref.name);
       break;
     case ResourceType::kRoute:
-      m_routes.erase(ref.name);
+      EraseRoute(ref.name);
       break;
   }
 }
 
+void ConfigTable::EraseRoute(const std::string& name) {
+  auto route = m_routes.find(name);
+  if (route == m_routes.end()) return;
+  auto& prefixes = m_prefixes[route->second.host];
+  auto prefix = prefixes.find(route->second.path_prefix);
+  // Inside a note another route may have taken over the prefix.
+  if (prefix != prefixes.end() && prefix->second == name) prefixes.erase(prefix);
+  if (prefixes.empty()) m_prefixes.erase(route->second.host);
+  m_routes.erase(route);
+}
+
 tl::expected<ConfigTable, ConfigError> ConfigTable::Apply(const ReleaseNote& note) const {
   if (auto valid = ValidateNote(note); !valid) return tl::make_unexpected(valid.error());
   ConfigTable next = SkipVersion();
--- a/src/config_table.h
+++ b/src/config_table.h
@@ -38,15 +38,30 @@
   int importance = 1;  // 0 (first to be refused) to 3.
   bool is_short = true;
   KeyMode key = KeyMode::kRequired;
+  // Most servers that one call may be sent to.
+  int attempts = 3;
+  // Time in ms within which an answer is of full use to the caller; 0: until the deadline.
+  int64_t objective_ms = 0;
   bool operator==(const WorkKind&) const = default;
 };
 
+// A part of the requests of a route.
+struct RouteShare {
+  std::string service;
+  int64_t weight = 1;
+  bool operator==(const RouteShare&) const = default;
+};
+
 // Sends requests whose path starts with `path_prefix` to a service as a kind of work.
 struct Route {
   std::string name;
   std::string path_prefix;
   std::string service;
   std::string work;
+  // The host that requests must name, in lower case; empty: any.
+  std::string host;
+  // When not empty, requests are shared among these services by weight, in place of `service`.
+  std::vector<RouteShare> shares;
   bool operator==(const Route&) const = default;
 };
 
@@ -99,6 +114,10 @@
 inline constexpr size_t kMaxPathPrefixLength = 255;
 inline constexpr int64_t kMaxDeadlineMs = 600'000;
 inline constexpr int kMaxImportance = 3;
+inline constexpr int kMaxAttempts = 16;
+inline constexpr size_t kMaxHostLength = 253;
+inline constexpr size_t kMaxShares = 64;
+inline constexpr int64_t kMaxWeight = 1'000'000;
 
 // 1 to 63 characters a-z, 0-9 and -.
 bool IsConfigName(std::string_view text);
@@ -124,9 +143,10 @@
   // Null when absent.
   const Service* FindService(std::string_view name) const;
   const WorkKind* FindWorkKind(std::string_view name) const;
-  // The route with the longest path prefix that `path` equals or continues after a slash; null when
-  // none matches. `path` is without its query.
-  const Route* MatchRoute(std::string_view path) const;
+  // The route with the longest path prefix that `path` equals or continues after a slash, among
+  // those for `host`, or else among those for any host; null when none matches. `path` is without
+  // its query.
+  const Route* MatchRoute(std::string_view path, std::string_view host = {}) const;
 
   // Checks all resources and references; the first error found is returned.
   tl::expected<void, ConfigError> Validate() const;
@@ -147,14 +167,18 @@
   bool operator==(const ConfigTable&) const = default;
 
  private:
+  const Route* LongestPrefix(std::string_view host, std::string_view path) const;
   bool Contains(const ResourceRef& ref) const;
   void Put(const Resource& resource);
   void Erase(const ResourceRef& ref);
+  void EraseRoute(const std::string& name);
 
   uint64_t m_version = 0;
   std::map<std::string, Service, std::less<>> m_services;
   std::map<std::string, WorkKind, std::less<>> m_work_kinds;
   std::map<std::string, Route, std::less<>> m_routes;
+  // Names of routes by host and path prefix.
+  std::map<std::string, std::map<std::string, std::string, std::less<>>, std::less<>> m_prefixes;
 };
 
 }  // namespace guavatrail
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -12,6 +12,7 @@
 #include "downstream_request.h"
 #include "event_loop.h"
 #include "http_headers.h"
+#include "http_query.h"
 #include "order_key.h"
 #include "peer_call.h"
 #include "stream_relay.h"
@@ -19,15 +20,16 @@
 
 namespace guavatrail {
 
-// Most servers that one call is sent to.
-inline constexpr int kMaxTries = 3;
+// Most serving nodes that one call is sent to.
+inline constexpr int kMaxTries = 4;
 inline constexpr int64_t kUsualRetryAfterMs = 100;
 
 // One try of a call on one serving node.
 struct EntryTry {
   std::string node;
   int64_t start_us = 0;
-  bool is_refused = false;  // Not run there, or tried elsewhere instead: its body is dropped.
+  bool reached_server = true;  // Unless the serving node said that it did not.
+  bool is_refused = false;     // Not run there, or tried elsewhere instead: its body is dropped.
   bool is_ended = false;
   std::unique_ptr<PeerCall> peer;
 };
@@ -43,11 +45,16 @@
   uint64_t id = 0;
   std::string request_id;
   std::string service;
+  std::string route;
+  std::string last_node;  // That the call was sent to.
   WorkTag work;
   int64_t deadline_us = 0;
   std::optional<OrderKey> key;
   std::set<std::string> tried;
   int tries_started = 0;
+  int attempts = kMaxTries;  // Most servers that may get the request.
+  int servers_reached = 0;   // Servers that got it, or may have.
+  int64_t objective_ms = 0;  // 0: none but the deadline.
   bool may_have_run = false;
   bool is_answered = false;  // The answer has begun or been decided.
   bool is_observed = false;
@@ -58,7 +65,7 @@
   std::unique_ptr<DownstreamRequest> downstream;
   StreamRelay relay;
   std::list<std::unique_ptr<EntryTry>> tries;
-  std::unique_ptr<PeerQuery> query;  // For a key or a fence.
+  std::unique_ptr<HttpQuery> query;  // For a key or a fence.
   Timer deadline_timer;
   Timer hedge_timer;
 };
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -42,6 +42,12 @@
   return is_late ? CallOutcome::kLate : CallOutcome::kGood;
 }
 
+// Whether a refusal came from the backend server, and not from the node beside it.
+bool HasReachedServer(const AnswerHead& head) {
+  const std::string* reason = FindHeader(head.headers, kReasonHeader);
+  return reason != nullptr && (*reason == kReasonServerFull || *reason == kReasonWrongServer);
+}
+
 std::string HexPrefix(std::string_view node, uint64_t random) {
   std::array<char, 20> hex{};
   std::snprintf(hex.data(), hex.size(), "%016" PRIx64, random);
@@ -51,9 +57,10 @@
 }  // namespace
 
 EntryProxy::EntryProxy(EventLoop& loop, const Settings& settings, MeshView view, Metrics& metrics,
-                       RandomSource& random, CallObserver observer)
+                       RandomSource& random, CallObserver observer, OuterProtocol protocol)
     : m_loop(loop),
       m_name(settings.node.name),
+      m_service(settings.node.service),
       m_ip(settings.listen.ip),
       m_configured_port(static_cast<uint16_t>(settings.listen.caller_port)),
       m_view(std::move(view)),
@@ -64,6 +71,8 @@
       m_id_prefix(HexPrefix(settings.node.name, random.Next())),
       m_listener(loop, [this](std::unique_ptr<DownstreamRequest> r) { OnRequest(std::move(r)); }),
       m_replies(loop),
+      m_protocol(std::move(protocol)),
+      m_random(random),
       m_deferred(loop) {
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
@@ -89,10 +98,30 @@
   idle();
 }
 
+void EntryProxy::HideNodeHeaders(HeaderList& headers) const {
+  if (!m_protocol.shows_node_headers) RemoveNodeHeaders(headers);
+}
+
+std::string EntryProxy::CallerIdOf(const DownstreamRequest& request) const {
+  if (m_protocol.request_id_header.empty()) return "";
+  const std::string* id = FindHeader(request.headers(), m_protocol.request_id_header);
+  return id == nullptr ? "" : *id;
+}
+
+void EntryProxy::EchoRequestId(const DownstreamRequest& request, HeaderList& headers) const {
+  std::string id = CallerIdOf(request);
+  if (!id.empty()) SetHeader(headers, m_protocol.request_id_header, id);
+}
+
 void EntryProxy::RefuseAtOnce(std::unique_ptr<DownstreamRequest> request, int status,
                               std::string_view reason) {
   HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}, {kReasonHeader, std::string(reason)}};
   if (status == kHttpServiceUnavailable) SetRetryAfter(headers, kNoTableRetryAfterMs);
+  HideNodeHeaders(headers);
+  EchoRequestId(*request, headers);
+  LOG_EVERY_N(INFO, 10) << "event=request_refused id=" << CallerIdOf(*request)
+                        << " path=" << request->path() << " status=" << status
+                        << " reason=" << reason;
   m_metrics.GetCounter("entry_refused_total", "reason=\"" + std::string(reason) + "\"").Add();
   m_replies.Reply(std::move(request), status, headers);
 }
@@ -109,14 +138,15 @@
   }
   // The nodes' own paths are for nodes only.
   bool is_own_path = request->path().starts_with(kOwnPathPrefix);
-  const Route* route = is_own_path ? nullptr : table->MatchRoute(request->path());
+  const Route* route = is_own_path ? nullptr : table->MatchRoute(request->path(), request->host());
   const WorkKind* kind = route == nullptr ? nullptr : table->FindWorkKind(route->work);
   if (kind == nullptr) {
     RefuseAtOnce(std::move(request), kHttpNotFound, "no_route");
     return;
   }
   int64_t deadline_ms = kind->deadline_ms;
-  if (const std::string* text = FindHeader(request->headers(), kDeadlineHeader); text != nullptr) {
+  if (const std::string* text = FindHeader(request->headers(), m_protocol.deadline_header);
+      text != nullptr) {
     std::optional<int64_t> remaining = ParseDeadlineMs(*text);
     if (!remaining) {
       RefuseAtOnce(std::move(request), kHttpBadRequest, "bad_deadline");
@@ -139,7 +169,10 @@
   m_calls[id] = std::move(owned);
   call.id = id;
   call.request_id = m_id_prefix + std::to_string(id);
-  call.service = route.service;
+  call.service = m_shares.Choose(route, m_random);
+  call.route = route.name;
+  call.attempts = kind.attempts;
+  call.objective_ms = kind.objective_ms;
   call.work = {kind.name, kind.importance, kind.is_short, mode};
   call.deadline_us = deadline_us;
   call.downstream->SetEndHandler([this, &call](bool written) { OnDownstreamEnd(call, written); });
@@ -178,6 +211,7 @@
   auto owned = std::make_unique<EntryTry>();
   EntryTry& t = *owned;
   t.node = server->node;
+  call.last_node = server->node;
   t.start_us = EventLoop::NowUs();
   call.tries.push_back(std::move(owned));
   m_picker.Sent(t.node, t.start_us);
@@ -199,11 +233,21 @@
   return true;
 }
 
+int64_t EntryProxy::ObjectiveUsOf(const EntryCall& call) const {
+  return call.downstream->arrival_us() + call.objective_ms * kUsPerMs;
+}
+
 UpstreamRequest EntryProxy::RequestFor(const EntryCall& call, const Endpoint& server) const {
   HeaderList headers = call.downstream->headers();
   RemoveNodeHeaders(headers);
   SetHeader(headers, kDeadlineHeader, FormatDeadlineMs(call.deadline_us, EventLoop::NowUs()));
   SetHeader(headers, kWorkHeader, FormatWorkTag(call.work));
+  if (call.objective_ms > 0) {
+    SetHeader(headers, kObjectiveHeader, FormatDeadlineMs(ObjectiveUsOf(call), EventLoop::NowUs()));
+  }
+  if (!m_protocol.caller_service_header.empty()) {
+    SetHeader(headers, m_protocol.caller_service_header, m_service);
+  }
   uint64_t incarnation = call.key ? call.key->incarnation : server.incarnation;
   SetHeader(headers, kIncarnationHeader, std::to_string(incarnation));
   return {.method = call.downstream->method(),
@@ -237,6 +281,7 @@
     int64_t retry_after_ms = NumberIn(head.headers, kRetryAfterMsHeader);
     if (retry_after_ms > 0) call.retry_after_ms = retry_after_ms;
     call.status = head.status;
+    t.reached_server = HasReachedServer(head);
     // A node that is not draining may issue another key.
     const std::string* reason = FindHeader(head.headers, kReasonHeader);
     bool is_draining = reason != nullptr && *reason == kReasonDraining;
@@ -257,12 +302,16 @@
     m_metrics.GetHistogram("call_added_us", "kind=\"" + call.work.name + "\"")
         .Record(now_us - call.downstream->arrival_us() - waited_us);
   }
-  call.relay.Begin(t.peer->exchange(), head, head.headers);
+  HeaderList headers = head.headers;
+  HideNodeHeaders(headers);
+  call.relay.Begin(t.peer->exchange(), head, headers);
 }
 
 // The server itself turned away a request that may be repeated.
-bool EntryProxy::IsShed(const EntryCall& call, const AnswerHead& head) {
-  return head.status == kHttpServiceUnavailable && call.work.mode == RunMode::kRepeatable;
+bool EntryProxy::IsShed(const EntryCall& call, const AnswerHead& head) const {
+  // Where servers say themselves that a request was not run, any other answer is theirs to give.
+  return m_protocol.not_run_header.empty() && head.status == kHttpServiceUnavailable &&
+         call.work.mode == RunMode::kRepeatable;
 }
 
 // Starts a try on another server in place of `t`, whose answer is then dropped.
@@ -308,6 +357,7 @@
     return;
   }
   if (call.is_answered) return;
+  if (t.reached_server && end != ExchangeEnd::kNotSent) ++call.servers_reached;
   if (t.is_refused) {
     OnRefused(call);
     return;
@@ -325,8 +375,7 @@
   bool is_other_running = std::any_of(call.tries.begin(), call.tries.end(),
                                       [](const auto& other) { return !other->is_ended; });
   if (is_other_running) return;
-  bool is_safe = call.work.mode == RunMode::kRepeatable || !call.may_have_run;
-  if (is_safe && call.tries_started < kMaxTries && m_picker.TakeRetry(call.service)) {
+  if (MayTryAgain(call)) {
     m_metrics.GetCounter("retries_total", "kind=\"" + call.work.name + "\"").Add();
     StartNext(call);
   } else {
@@ -334,6 +383,15 @@
   }
 }
 
+// A try that no server saw costs no server anything; any other is taken from the budget.
+bool EntryProxy::MayTryAgain(EntryCall& call) {
+  bool is_safe = call.work.mode == RunMode::kRepeatable || !call.may_have_run;
+  if (!is_safe || call.tries_started >= kMaxTries) return false;
+  if (call.deadline_us <= EventLoop::NowUs()) return false;
+  if (call.servers_reached == 0) return true;
+  return call.servers_reached < call.attempts && m_picker.TakeRetry(call.service);
+}
+
 // A serving node did not run the request, and for a keyed order never will.
 void EntryProxy::OnRefused(EntryCall& call) {
   if (call.work.mode == RunMode::kKeyed) {
@@ -370,7 +428,11 @@
 
 void EntryProxy::AnswerNotRun(EntryCall& call, int64_t retry_after_ms) {
   HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}};
-  SetRetryAfter(headers, retry_after_ms);
+  if (m_protocol.has_fractional_retry_after) {
+    SetFractionalRetryAfter(headers, retry_after_ms);
+  } else {
+    SetRetryAfter(headers, retry_after_ms);
+  }
   Answer(call, kHttpServiceUnavailable, std::move(headers), CallOutcome::kRefused);
 }
 
@@ -385,6 +447,9 @@
   call.hedge_timer.Cancel();
   EndOtherTries(call, nullptr);
   SetHeader(headers, kRequestIdHeader, call.request_id);
+  HideNodeHeaders(headers);
+  EchoRequestId(*call.downstream, headers);
+  call.status = status;
   call.downstream->Reply(status, headers, "");
   Observe(call, outcome);
 }
@@ -392,6 +457,7 @@
 void EntryProxy::Observe(EntryCall& call, CallOutcome outcome) {
   if (call.is_observed) return;
   call.is_observed = true;
+  LogCall(call, outcome);
   std::string labels = "service=\"" + call.service + "\",kind=\"" + call.work.name +
                        "\",outcome=\"" + std::string(ToString(outcome)) + "\"";
   m_metrics.GetCounter("calls_total", labels).Add();
@@ -403,6 +469,15 @@
               .body_bytes = call.relay.body_bytes()});
 }
 
+void EntryProxy::LogCall(const EntryCall& call, CallOutcome outcome) const {
+  LOG(INFO) << "event=request id=" << CallerIdOf(*call.downstream) << " try_id=" << call.request_id
+            << " route=" << call.route << " service=" << call.service
+            << " outcome=" << ToString(outcome) << " status=" << call.status
+            << " tries=" << call.tries_started << " reached=" << call.servers_reached
+            << " last_node=" << call.last_node << " may_have_run=" << call.may_have_run
+            << " ms=" << (EventLoop::NowUs() - call.downstream->arrival_us()) / kUsPerMs;
+}
+
 void EntryProxy::OnDownstreamEnd(EntryCall& call, bool written) {
   // A caller that has left cancels the work; a keyed order runs on at its serving node.
   if (!written) call.is_observed = true;
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -12,13 +12,16 @@
 #include "burn.h"
 #include "downstream_request.h"
 #include "event_loop.h"
+#include "http_query.h"
 #include "mesh_view.h"
 #include "metrics.h"
+#include "outer_protocol.h"
 #include "peer_client.h"
 #include "proxy_error.h"
 #include "random_source.h"
 #include "server_picker.h"
 #include "settings.h"
+#include "share_chooser.h"
 
 namespace guavatrail {
 
@@ -39,7 +42,7 @@
 class EntryProxy {
  public:
   EntryProxy(EventLoop& loop, const Settings& settings, MeshView view, Metrics& metrics,
-             RandomSource& random, CallObserver observer);
+             RandomSource& random, CallObserver observer, OuterProtocol protocol = {});
   ~EntryProxy();
   EntryProxy(const EntryProxy&) = delete;
   EntryProxy& operator=(const EntryProxy&) = delete;
@@ -51,7 +54,12 @@
   // may need calls through this port to finish.
   void StartDrain(std::function<void()> idle);
 
+  // Goes on with all requests, and closes each connection behind its next answer.
+  void CloseAfterAnswers() { m_listener.CloseAfterAnswers(); }
+  void SetLimits(const HttpLimits& limits) { m_listener.SetLimits(limits); }
+
   uint16_t port() const { return m_listener.port(); }
+  size_t calls() const { return m_calls.size(); }
 
  private:
   // From the caller.
@@ -70,20 +78,22 @@
   void PlanHedge(EntryCall& call);
   UpstreamRequest RequestFor(const EntryCall& call, const Endpoint& server) const;
   void OnHead(EntryCall& call, EntryTry& t, const AnswerHead& head);
-  static bool IsShed(const EntryCall& call, const AnswerHead& head);
+  bool IsShed(const EntryCall& call, const AnswerHead& head) const;
   bool MoveElsewhere(EntryCall& call, EntryTry& t);
   void OnDone(EntryCall& call, EntryTry& t, ExchangeEnd end);
   void OnRefused(EntryCall& call);
   void Retry(EntryCall& call);
+  bool MayTryAgain(EntryCall& call);
+  int64_t ObjectiveUsOf(const EntryCall& call) const;
   void EndTry(EntryCall& call, EntryTry& t);
   void EndOtherTries(EntryCall& call, const EntryTry* winner);
 
   // Keyed orders.
   void BeginKeyed(EntryCall& call);
   void FetchKey(EntryCall& call);
-  void OnKeyReply(EntryCall& call, const std::string& node, const std::optional<PeerReply>& reply);
+  void OnKeyReply(EntryCall& call, const std::string& node, const std::optional<HttpReply>& reply);
   void FenceOrder(EntryCall& call);
-  void OnFenceReply(EntryCall& call, const std::optional<PeerReply>& reply);
+  void OnFenceReply(EntryCall& call, const std::optional<HttpReply>& reply);
 
   // Final answers without one of the server.
   void AnswerNotRun(EntryCall& call, int64_t retry_after_ms);
@@ -91,11 +101,16 @@
   void AnswerFailed(EntryCall& call, int status);
   void Answer(EntryCall& call, int status, HeaderList headers, CallOutcome outcome);
   void Observe(EntryCall& call, CallOutcome outcome);
+  void LogCall(const EntryCall& call, CallOutcome outcome) const;
+  void HideNodeHeaders(HeaderList& headers) const;
+  std::string CallerIdOf(const DownstreamRequest& request) const;
+  void EchoRequestId(const DownstreamRequest& request, HeaderList& headers) const;
   void Remove(EntryCall& call);
   void CheckIdle();
 
   EventLoop& m_loop;
   std::string m_name;
+  std::string m_service;
   std::string m_ip;
   uint16_t m_configured_port;
   MeshView m_view;
@@ -108,6 +123,9 @@
   HttpListener m_listener;
   PendingReplies m_replies;
   std::unordered_map<uint64_t, std::unique_ptr<EntryCall>> m_calls;
+  OuterProtocol m_protocol;
+  ShareChooser m_shares;
+  RandomSource& m_random;
   bool m_draining = false;
   std::function<void()> m_on_idle;
   DeferredQueue m_deferred;
--- a/src/entry_proxy_orders.cc
+++ b/src/entry_proxy_orders.cc
@@ -39,16 +39,16 @@
   }
   ++call.tries_started;
   call.tried.insert(server->node);
-  call.query = std::make_unique<PeerQuery>(
+  call.query = std::make_unique<HttpQuery>(
       m_loop, m_peers.PoolOf(*server),
       UpstreamRequest{.method = EVHTTP_REQ_POST, .uri = kOrderKeyPath}, kKeyTimeout,
-      [this, &call, node = server->node](const std::optional<PeerReply>& reply) {
+      [this, &call, node = server->node](const std::optional<HttpReply>& reply) {
         OnKeyReply(call, node, reply);
       });
 }
 
 void EntryProxy::OnKeyReply(EntryCall& call, const std::string& node,
-                            const std::optional<PeerReply>& reply) {
+                            const std::optional<HttpReply>& reply) {
   if (call.is_answered) return;
   if (reply) m_picker.Reported(call.service, node, reply->headers, EventLoop::NowUs());
   const std::string* key = reply ? FindHeader(reply->headers, kOrderKeyHeader) : nullptr;
@@ -69,17 +69,17 @@
     AnswerUnknown(call, kHttpGatewayTimeout);
     return;
   }
-  call.query = std::make_unique<PeerQuery>(
+  call.query = std::make_unique<HttpQuery>(
       m_loop, m_peers.PoolOf(*server),
       UpstreamRequest{.method = EVHTTP_REQ_POST,
                       .uri = kFencePath,
                       .headers = {{kOrderKeyHeader, ToString(*call.key)}},
                       .max_idle = std::chrono::milliseconds(0)},
       kFenceTimeout,
-      [this, &call](const std::optional<PeerReply>& reply) { OnFenceReply(call, reply); });
+      [this, &call](const std::optional<HttpReply>& reply) { OnFenceReply(call, reply); });
 }
 
-void EntryProxy::OnFenceReply(EntryCall& call, const std::optional<PeerReply>& reply) {
+void EntryProxy::OnFenceReply(EntryCall& call, const std::optional<HttpReply>& reply) {
   if (call.is_answered) return;
   bool not_run = reply && reply->status == kHttpOk && HasOutcome(reply->headers, kOutcomeNotRun);
   if (not_run) {
--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -2,6 +2,8 @@
 
 #include <glog/logging.h>
 
+#include <ctime>
+
 namespace guavatrail {
 
 struct EventLoop::SignalHandler {
@@ -33,6 +35,13 @@
 
 void EventLoop::Stop() { event_base_loopbreak(m_base.get()); }
 
+void EventLoop::StopAfter(std::chrono::milliseconds delay) {
+  timeval tv{};
+  tv.tv_sec = delay.count() / 1000;
+  tv.tv_usec = delay.count() % 1000 * 1000;
+  event_base_loopexit(m_base.get(), &tv);
+}
+
 void EventLoop::OnSignal(int signal_number, std::function<void()> handler) {
   auto entry = std::make_unique<SignalHandler>();
   entry->handler = std::move(handler);
@@ -46,8 +55,10 @@
 }
 
 int64_t EventLoop::NowUs() {
-  auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+  // The steady clock stands still while the VM is suspended, and deadlines do not.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return static_cast<int64_t>(now.tv_sec) * 1'000'000 + now.tv_nsec / 1000;
 }
 
 int64_t EventLoop::WallMs() {
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -24,11 +24,13 @@
   // Runs until Stop() is called.
   void Run();
   void Stop();
+  // Stops after `delay`, whatever is still under way.
+  void StopAfter(std::chrono::milliseconds delay);
 
   // Calls `handler` on the loop whenever `signal_number` arrives.
   void OnSignal(int signal_number, std::function<void()> handler);
 
-  // Monotonic time in microseconds.
+  // Time in microseconds that never goes back and counts the time for which the VM was suspended.
   static int64_t NowUs();
   // Wall-clock time in milliseconds since the Unix epoch.
   static int64_t WallMs();
--- a/src/http_headers.cc
+++ b/src/http_headers.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdio>
 
 namespace guavatrail {
 
@@ -90,6 +91,14 @@
   SetHeader(headers, kRetryAfterMsHeader, std::to_string(retry_after_ms));
 }
 
+void SetFractionalRetryAfter(HeaderList& headers, int64_t retry_after_ms) {
+  constexpr double kMsPerSecond = 1000.0;
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                static_cast<double>(retry_after_ms) / kMsPerSecond);
+  SetHeader(headers, "Retry-After", text.data());
+}
+
 HeaderList EndToEndHeaders(const HeaderList& headers) {
   std::vector<std::string_view> declared = DeclaredHopByHop(headers);
   HeaderList list;
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -14,6 +14,8 @@
 inline constexpr char kRequestIdHeader[] = "X-Guavatrail-Request-Id";
 inline constexpr char kDeadlineHeader[] = "X-Guavatrail-Deadline-Ms";
 inline constexpr char kWorkHeader[] = "X-Guavatrail-Work";
+// Milliseconds left until the time within which an answer is of full use; absent: the deadline.
+inline constexpr char kObjectiveHeader[] = "X-Guavatrail-Objective-Ms";
 inline constexpr char kIncarnationHeader[] = "X-Guavatrail-Incarnation";
 inline constexpr char kLoadHeader[] = "X-Guavatrail-Load";
 inline constexpr char kOutcomeHeader[] = "X-Guavatrail-Outcome";
@@ -45,6 +47,11 @@
 inline constexpr char kReasonOverload[] = "overload";
 inline constexpr char kReasonFenced[] = "fenced";
 inline constexpr char kReasonUnreachable[] = "unreachable";
+// The backend server itself turned the request away.
+inline constexpr char kReasonServerFull[] = "server_full";
+inline constexpr char kReasonWrongServer[] = "wrong_server";
+// No backend server beside the node takes new work.
+inline constexpr char kReasonNoServer[] = "no_server";
 
 inline constexpr size_t kMaxHeaderBytes = 65'536;
 inline constexpr size_t kMaxRequestBodyBytes = 1'048'576;
@@ -83,6 +90,8 @@
 bool HasOutcome(const HeaderList& headers, std::string_view outcome);
 // Adds Retry-After, in whole seconds and at least 1, and its value in milliseconds.
 void SetRetryAfter(HeaderList& headers, int64_t retry_after_ms);
+// Adds Retry-After in seconds with three decimals.
+void SetFractionalRetryAfter(HeaderList& headers, int64_t retry_after_ms);
 
 // Headers that a proxy passes on: without hop-by-hop headers, Content-Length and Expect, which
 // belong to one connection.
--- /dev/null
+++ b/src/http_query.h
@@ -0,0 +1,43 @@
+// Defines HttpQuery, a request whose answer is collected before it is handed on.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "connection_pool.h"
+#include "event_loop.h"
+
+namespace guavatrail {
+
+struct HttpReply {
+  int status = 0;
+  HeaderList headers;
+  std::string body;  // At most as long as the query allows; the rest is dropped.
+};
+
+// A request whose answer is taken as a whole, with a time limit. Destroying it gives it up.
+class HttpQuery {
+ public:
+  static constexpr size_t kSmallBodyBytes = 4096;
+  // Receives the whole reply, or nothing when it did not come in time. May destroy the query.
+  using Handler = std::function<void(std::optional<HttpReply>)>;
+
+  HttpQuery(EventLoop& loop, ConnectionPool& pool, UpstreamRequest request,
+            std::chrono::milliseconds timeout, Handler handler,
+            size_t max_body_bytes = kSmallBodyBytes);
+
+ private:
+  void OnData(evbuffer* data);
+  void Finish(bool complete);
+
+  size_t m_max_body_bytes;
+  HttpReply m_reply;
+  std::shared_ptr<Handler> m_handler;
+  std::unique_ptr<Exchange> m_exchange;
+  Timer m_timer;
+};
+
+}  // namespace guavatrail
--- a/src/peer_call.cc
+++ b/src/peer_call.cc
@@ -13,7 +13,7 @@
 constexpr std::chrono::milliseconds kGrace{250};
 
 // Bytes that the serving node has written for the request.
-uint64_t WrittenBytes(const PeerReply& reply) {
+uint64_t WrittenBytes(const HttpReply& reply) {
   uint64_t bytes = 0;
   std::from_chars(reply.body.data(), reply.body.data() + reply.body.size(), bytes);
   return bytes;
@@ -80,12 +80,12 @@
   UpstreamRequest request{.method = EVHTTP_REQ_GET,
                           .uri = std::string(kProbePathPrefix) + m_request_id,
                           .max_idle = std::chrono::milliseconds(0)};
-  m_probe = std::make_unique<PeerQuery>(
+  m_probe = std::make_unique<HttpQuery>(
       m_loop, m_pool, std::move(request), kProbeTimeout,
-      [this](const std::optional<PeerReply>& reply) { OnProbeReply(reply); });
+      [this](const std::optional<HttpReply>& reply) { OnProbeReply(reply); });
 }
 
-void PeerCall::OnProbeReply(const std::optional<PeerReply>& reply) {
+void PeerCall::OnProbeReply(const std::optional<HttpReply>& reply) {
   bool is_alive =
       reply && reply->status == kHttpOk && WrittenBytes(*reply) <= m_exchange->received_bytes();
   int64_t activity_us = m_exchange->last_activity_us();
--- a/src/peer_call.h
+++ b/src/peer_call.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "http_query.h"
 #include "peer_client.h"
 
 namespace guavatrail {
@@ -40,13 +41,13 @@
   void Finish(ExchangeEnd end);
   void OnTimer();
   void Probe();
-  void OnProbeReply(const std::optional<PeerReply>& reply);
+  void OnProbeReply(const std::optional<HttpReply>& reply);
 
   ConnectionPool& m_pool;
   std::string m_request_id;
   std::shared_ptr<Handlers> m_handlers;
   std::unique_ptr<Exchange> m_exchange;
-  std::unique_ptr<PeerQuery> m_probe;
+  std::unique_ptr<HttpQuery> m_probe;
   // Time of the last activity when the probe found the connection in doubt; 0 otherwise.
   int64_t m_doubted_activity_us = 0;
   bool m_was_silent = false;
--- a/src/peer_client.cc
+++ b/src/peer_client.cc
@@ -1,7 +1,5 @@
 #include "peer_client.h"
 
-#include <event2/buffer.h>
-
 namespace guavatrail {
 
 namespace {
@@ -13,40 +11,6 @@
 
 }  // namespace
 
-PeerQuery::PeerQuery(EventLoop& loop, ConnectionPool& pool, UpstreamRequest request,
-                     std::chrono::milliseconds timeout, Handler handler)
-    : m_handler(std::make_shared<Handler>(std::move(handler))),
-      m_timer(loop, [this] { Finish(false); }) {
-  m_exchange =
-      pool.Send(std::move(request),
-                {.head =
-                     [this](const AnswerHead& head) {
-                       m_reply.status = head.status;
-                       m_reply.headers = head.headers;
-                     },
-                 .data = [this](evbuffer* data) { OnData(data); },
-                 .done = [this](ExchangeEnd end) { Finish(end == ExchangeEnd::kComplete); }});
-  m_timer.Start(timeout);
-}
-
-void PeerQuery::OnData(evbuffer* data) {
-  size_t old = m_reply.body.size();
-  size_t length = std::min(evbuffer_get_length(data), kMaxBodyBytes - old);
-  m_reply.body.resize(old + length);
-  evbuffer_remove(data, m_reply.body.data() + old, length);
-  evbuffer_drain(data, evbuffer_get_length(data));
-}
-
-void PeerQuery::Finish(bool complete) {
-  m_timer.Cancel();
-  m_exchange.reset();
-  // The handler may destroy this object.
-  std::shared_ptr<Handler> handler = std::move(m_handler);
-  std::optional<PeerReply> reply;
-  if (complete) reply = std::move(m_reply);
-  (*handler)(std::move(reply));
-}
-
 PeerClient::PeerClient(EventLoop& loop, std::string local_ip)
     : m_loop(loop),
       m_local_ip(std::move(local_ip)),
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -130,6 +130,8 @@
       return "conflict";
     case PlatformError::Code::kTooLarge:
       return "too_large";
+    case PlatformError::Code::kHistoryGone:
+      return "history_gone";
     case PlatformError::Code::kUnavailable:
       return "unavailable";
     case PlatformError::Code::kUnknown:
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -28,6 +28,7 @@
     kNotFound,     // No such object.
     kConflict,     // The condition did not hold; nothing was written.
     kTooLarge,     // The value is over the platform's limit; nothing was written.
+    kHistoryGone,  // The changes since the given revision are not kept any more.
     kUnavailable,  // The platform refused before acting (outage, rate limit); nothing was written.
     kUnknown,      // No answer: a write may or may not have taken effect, now or later.
   };
--- a/src/release_note.cc
+++ b/src/release_note.cc
@@ -17,10 +17,18 @@
     "a path of at most 255 visible ASCII characters that starts with \"/\" and has no \"?\" or "
     "\"#\"";
 constexpr std::string_view kTypeAllowed = "one of \"service\" \"work\" \"route\"";
+constexpr std::string_view kHostAllowed =
+    "a host name of at most 253 characters a-z, 0-9, - and ., or nothing";
 constexpr std::string_view kArrayAllowed = "an array of tables";
 
 bool IsText(std::string_view text) { return text.size() <= kMaxTextLength; }
 
+bool IsHost(std::string_view text) {
+  return text.size() <= kMaxHostLength && std::all_of(text.begin(), text.end(), [](char c) {
+           return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.';
+         });
+}
+
 // Reads the keys of one TOML table and keeps the first error. Finish() reports the keys that no
 // call has asked for.
 class TableReader {
@@ -37,6 +45,17 @@
     out = std::move(*value);
   }
 
+  // Keeps `out` when the key is absent.
+  template <typename Allows>
+  void OptionalText(std::string_view key, std::string& out, std::string_view allowed,
+                    Allows allows) {
+    if (m_table.contains(key)) {
+      Text(key, out, allowed, allows);
+    } else {
+      m_known.emplace_back(key);
+    }
+  }
+
   template <typename Integer>
   void Number(std::string_view key, bool required, int64_t min, int64_t max, Integer& out) {
     std::string allowed = "an integer from " + std::to_string(min) + " to " + std::to_string(max);
@@ -100,6 +119,13 @@
     if (!m_error) m_error = NoteError{m_file + ":" + std::to_string(line) + ": " + text};
   }
 
+  // Takes over an error of a table inside this one.
+  void Adopt(const NoteError& error) {
+    if (!m_error) m_error = error;
+  }
+
+  const std::string& file() const { return m_file; }
+
   std::optional<NoteError> Finish() {
     for (const auto& [key, node] : m_table) {
       if (std::find(m_known.begin(), m_known.end(), key.str()) != m_known.end()) continue;
@@ -153,6 +179,8 @@
   reader.Either("length", "short", "long", work.is_short);
   reader.Either("key", "required", "per_request", key_required);
   work.key = key_required ? KeyMode::kRequired : KeyMode::kPerRequest;
+  reader.Number("attempts", false, 1, kMaxAttempts, work.attempts);
+  reader.Number("objective_ms", false, 0, kMaxDeadlineMs, work.objective_ms);
   return work;
 }
 
@@ -162,6 +190,15 @@
   reader.Text("path_prefix", route.path_prefix, kPathAllowed, IsPathPrefix);
   reader.Text("service", route.service, kNameAllowed, IsConfigName);
   reader.Text("work", route.work, kNameAllowed, IsConfigName);
+  reader.OptionalText("host", route.host, kHostAllowed, IsHost);
+  for (const toml::table* table : reader.Tables("shares")) {
+    TableReader share_reader(*table, "shares.", reader.file());
+    RouteShare share;
+    share_reader.Text("service", share.service, kNameAllowed, IsConfigName);
+    share_reader.Number("weight", true, 0, kMaxWeight, share.weight);
+    if (auto error = share_reader.Finish()) reader.Adopt(*error);
+    route.shares.push_back(std::move(share));
+  }
   return route;
 }
 
--- a/src/retry_budget.cc
+++ b/src/retry_budget.cc
@@ -14,4 +14,8 @@
   std::visit([](auto& b) { b.Retried(); }, budget);
 }
 
+void SetReserve(RetryBudget& budget, double reserve) {
+  std::visit([reserve](auto& b) { b.SetReserve(reserve); }, budget);
+}
+
 }  // namespace guavatrail
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -20,6 +20,11 @@
 
   void Called() { m_tokens = std::min(m_options.reserve, m_tokens + m_options.share); }
   bool MayRetry() const { return m_tokens >= 1.0; }
+  // The most that can be saved up; for a reserve that a changing number of nodes shares.
+  void SetReserve(double reserve) {
+    m_options.reserve = reserve;
+    m_tokens = std::min(m_tokens, reserve);
+  }
   void Retried() { m_tokens = std::max(0.0, m_tokens - 1.0); }
 
  private:
@@ -33,6 +38,7 @@
   void Called() {}
   bool MayRetry() const { return true; }
   void Retried() {}
+  void SetReserve(double /*reserve*/) {}
 };
 
 using RetryBudget = std::variant<TokenRetryBudget, UnlimitedRetries>;
@@ -43,5 +49,7 @@
 bool MayRetry(const RetryBudget& budget);
 // A retry was sent.
 void Retried(RetryBudget& budget);
+// Changes the most retries that can be saved up.
+void SetReserve(RetryBudget& budget, double reserve);
 
 }  // namespace guavatrail
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -1,5 +1,6 @@
 #include "server_picker.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace guavatrail {
@@ -24,6 +25,7 @@
       m_local_data_centre(settings.node.data_centre),
       m_retry_share(settings.calls.retry_budget),
       m_hedge_share(settings.calls.hedge_budget),
+      m_shared_retry_reserve(settings.calls.shared_retry_reserve),
       m_random(random),
       m_endpoints(std::make_shared<const EndpointList>()) {}
 
@@ -37,10 +39,17 @@
   HedgePolicy hedges = NoHedge{};
   if (m_hedge_share > 0) hedges = PercentileHedge({.share = m_hedge_share});
   Service service{std::move(placement), OutlierDetector{},
-                  TokenRetryBudget({.share = m_retry_share}), std::move(hedges)};
+                  TokenRetryBudget({.share = m_retry_share, .reserve = RetryReserve()}),
+                  std::move(hedges)};
   return m_services.emplace(std::string(name), std::move(service)).first->second;
 }
 
+double ServerPicker::RetryReserve() const {
+  if (m_shared_retry_reserve <= 0) return TokenRetryBudget::Options().reserve;
+  return m_shared_retry_reserve /
+         static_cast<double>(std::max<size_t>(1, m_endpoints->all().size()));
+}
+
 void ServerPicker::Update(std::shared_ptr<const EndpointList> endpoints, int64_t now_us) {
   if (endpoints == m_endpoints) return;
   std::map<std::string_view, std::vector<std::string_view>> by_service;
@@ -59,6 +68,7 @@
   }
   for (auto& [name, nodes] : by_service) SetServers(ServiceOf(name).outliers, nodes);
   m_endpoints = std::move(endpoints);
+  for (auto& [name, service] : m_services) SetReserve(service.retries, RetryReserve());
 }
 
 const Endpoint* ServerPicker::Pick(std::string_view service, const std::set<std::string>& excluded,
--- a/src/server_picker.h
+++ b/src/server_picker.h
@@ -63,11 +63,13 @@
     HedgePolicy hedges;
   };
   Service& ServiceOf(std::string_view name);
+  double RetryReserve() const;
 
   std::string m_placement_name;
   std::string m_local_data_centre;
   double m_retry_share;
   double m_hedge_share;
+  double m_shared_retry_reserve;
   RandomSource& m_random;
   std::shared_ptr<const EndpointList> m_endpoints;
   LoadTracker m_tracker;
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -48,6 +48,13 @@
   return request.arrival_us() + ms.value_or(kDefaultDeadlineMs) * kUsPerMs;
 }
 
+// 0 when the sender has named none.
+int64_t ObjectiveOf(const DownstreamRequest& request) {
+  const std::string* text = FindHeader(request.headers(), kObjectiveHeader);
+  std::optional<int64_t> ms = text == nullptr ? std::nullopt : ParseDeadlineMs(*text);
+  return ms ? request.arrival_us() + *ms * kUsPerMs : 0;
+}
+
 std::string RequestIdOf(const DownstreamRequest& request) {
   const std::string* id = FindHeader(request.headers(), kRequestIdHeader);
   return id == nullptr ? "" : *id;
@@ -77,12 +84,14 @@
   uint64_t id = 0;
   uint64_t serial = 0;  // Of keyed orders; 0 otherwise.
   std::string request_id;
+  std::string server_id;  // That the request was sent to.
   WorkTag work;
   Phase phase = Phase::kQueued;
   int64_t deadline_us = 0;
   int64_t start_us = 0;
   bool is_given_up = false;  // The sender was told that the outcome is unknown.
   bool is_second_try = false;
+  std::string refusal;         // The backend server turned the request away, and why; else empty.
   bool may_have_left = false;  // An earlier try may have reached the server.
   StoredAnswer answer;         // Of keyed orders.
   bool is_storable = true;
@@ -93,20 +102,23 @@
 };
 
 ServingProxy::ServingProxy(EventLoop& loop, const Settings& settings, uint64_t incarnation,
-                           Metrics& metrics, RandomSource&)
+                           Metrics& metrics, RandomSource&, OuterProtocol protocol)
     : m_loop(loop),
+      m_protocol(std::move(protocol)),
       m_name(settings.node.name),
       m_metrics(metrics),
       m_admission(MakeAdmission(settings)),
       m_orders(settings.node.name, incarnation),
       m_pool(loop, {.ip = settings.server.ip,
                     .port = static_cast<uint16_t>(settings.server.port),
-                    .max_connections = static_cast<size_t>(settings.server.connections)}),
+                    .max_connections = static_cast<size_t>(settings.server.connections),
+                    .close_ends_answer = m_protocol.close_ends_answer}),
       m_listener(loop, [this](std::unique_ptr<DownstreamRequest> r) { OnRequest(std::move(r)); }),
       m_ip(settings.listen.ip),
       m_configured_port(static_cast<uint16_t>(settings.listen.peer_port)),
       m_replies(loop),
       m_queue_timer(loop, [this] { WatchQueue(); }),
+      m_gate_timer(loop, [this] { RefuseQueue(); }),
       m_deferred(loop) {
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
@@ -144,7 +156,9 @@
   if (work.mode == RunMode::kKeyed) {
     OnOrder(std::move(request), work);
   } else if (m_draining) {
-    RefuseDraining(std::move(request));
+    RefuseAtOnce(std::move(request), kReasonDraining);
+  } else if (!m_gate.is_open) {
+    RefuseAtOnce(std::move(request), m_gate.reason);
   } else {
     Admit(std::move(request), work, 0);
   }
@@ -165,7 +179,7 @@
 
 void ServingProxy::IssueKey(std::unique_ptr<DownstreamRequest> request) {
   if (m_draining) {
-    RefuseDraining(std::move(request));
+    RefuseAtOnce(std::move(request), kReasonDraining);
     return;
   }
   HeaderList headers = NodeHeaders(kOutcomeAnswered, RequestIdOf(*request));
@@ -220,11 +234,45 @@
   m_replies.Reply(std::move(request), answer.status, answer.headers, answer.body);
 }
 
-void ServingProxy::RefuseDraining(std::unique_ptr<DownstreamRequest> request) {
+void ServingProxy::OpenGate(const std::string& server_id, int slots) {
+  bool is_new = !m_gate.is_open || m_gate.server_id != server_id;
+  m_gate = {true, server_id, ""};
+  m_gate_timer.Cancel();
+  if (auto* admission = std::get_if<SlotAdmission>(&m_admission)) admission->SetSlots(slots);
+  if (is_new) LOG(INFO) << "event=gate_opened server=" << server_id << " slots=" << slots;
+}
+
+void ServingProxy::CloseGate(std::string_view reason, std::chrono::milliseconds queue_time) {
+  if (m_gate.is_open) {
+    LOG(INFO) << "event=gate_closed server=" << m_gate.server_id << " reason=" << reason
+              << " queued=" << LoadOf(m_admission).queued
+              << " in_service=" << LoadOf(m_admission).in_service;
+  }
+  m_gate.is_open = false;
+  m_gate.reason = reason;
+  m_gate_timer.Start(queue_time);
+}
+
+// What still waits when the time of a closed gate is over is refused, so that it goes elsewhere.
+void ServingProxy::RefuseQueue() {
+  if (m_gate.is_open) return;
+  std::vector<uint64_t> queued;
+  for (const auto& [id, call] : m_calls) {
+    if (call->phase == Call::Phase::kQueued) queued.push_back(id);
+  }
+  for (uint64_t id : queued) {
+    Call& call = *m_calls.at(id);
+    Apply(Cancel(m_admission, id, EventLoop::NowUs()));
+    Refuse(call, kDrainRetryAfterMs, m_gate.reason);
+  }
+}
+
+void ServingProxy::RefuseAtOnce(std::unique_ptr<DownstreamRequest> request,
+                                std::string_view reason) {
   HeaderList headers = NodeHeaders(kOutcomeNotRun, RequestIdOf(*request));
-  SetHeader(headers, kReasonHeader, kReasonDraining);
+  SetHeader(headers, kReasonHeader, reason);
   SetRetryAfter(headers, kDrainRetryAfterMs);
-  m_metrics.GetCounter("serving_refused_total", "reason=\"draining\"").Add();
+  m_metrics.GetCounter("serving_refused_total", "reason=\"" + std::string(reason) + "\"").Add();
   m_replies.Reply(std::move(request), kHttpServiceUnavailable, headers);
 }
 
@@ -249,7 +297,8 @@
                                        .importance = work.importance,
                                        .is_short = work.is_short,
                                        .deadline_us = call.deadline_us,
-                                       .arrival_us = call.downstream->arrival_us()},
+                                       .arrival_us = call.downstream->arrival_us(),
+                                       .objective_us = ObjectiveOf(*call.downstream)},
                                       now_us);
   call.timer.Start(std::chrono::microseconds(std::max<int64_t>(0, call.deadline_us - now_us)));
   Apply({.refuse = decision.evicted});
@@ -304,27 +353,69 @@
 void ServingProxy::Run(Call& call) {
   call.phase = Call::Phase::kRunning;
   call.start_us = EventLoop::NowUs();
+  call.server_id = m_gate.server_id;
   m_metrics.GetHistogram("serving_queue_wait_us")
       .Record(call.start_us - call.downstream->arrival_us());
   Send(call, call.work.mode == RunMode::kRepeatable ? kUsualIdle : kFreshIdle);
 }
 
 void ServingProxy::Send(Call& call, std::chrono::milliseconds max_idle) {
-  HeaderList headers = call.downstream->headers();
-  RemoveNodeHeaders(headers);
-  SetHeader(headers, kDeadlineHeader, FormatDeadlineMs(call.deadline_us, EventLoop::NowUs()));
-  if (!call.request_id.empty()) SetHeader(headers, kRequestIdHeader, call.request_id);
-  call.exchange = m_pool.Send({.method = call.downstream->method(),
-                               .uri = call.downstream->target(),
-                               .headers = std::move(headers),
-                               .body = call.downstream->body(),
-                               .max_idle = max_idle},
+  UpstreamRequest request{.method = call.downstream->method(),
+                          .uri = call.downstream->target(),
+                          .headers = ServerHeaders(call),
+                          .body = call.downstream->body(),
+                          .max_idle = max_idle};
+  const std::string& id_header = m_protocol.request_id_header;
+  if (const std::string* id = FindHeader(request.headers, id_header); id != nullptr) {
+    request.id_header = id_header;
+    request.id = *id;
+  }
+  call.exchange = m_pool.Send(std::move(request),
                               {.head = [this, &call](const AnswerHead& h) { OnHead(call, h); },
                                .data = [this, &call](evbuffer* d) { OnData(call, d); },
                                .done = [this, &call](ExchangeEnd e) { OnDone(call, e); }});
 }
 
+HeaderList ServingProxy::ServerHeaders(const Call& call) const {
+  HeaderList headers = call.downstream->headers();
+  RemoveNodeHeaders(headers);
+  SetHeader(headers, m_protocol.deadline_header,
+            FormatDeadlineMs(call.deadline_us, EventLoop::NowUs()));
+  if (m_protocol.shows_node_headers && !call.request_id.empty()) {
+    SetHeader(headers, kRequestIdHeader, call.request_id);
+  }
+  if (!m_protocol.expected_server_header.empty()) {
+    SetHeader(headers, m_protocol.expected_server_header, m_gate.server_id);
+  }
+  return headers;
+}
+
+// Whether the backend server says that it did not run the request and that it may run elsewhere.
+bool ServingProxy::IsRefusal(const AnswerHead& head) const {
+  if (!m_protocol.expected_server_header.empty() && head.status == kHttpMisdirected) return true;
+  if (m_protocol.not_run_header.empty()) return false;
+  bool is_shed = head.status == kHttpServiceUnavailable || head.status == kHttpTooManyRequests;
+  return is_shed && FindHeader(head.headers, m_protocol.not_run_header) != nullptr;
+}
+
+void ServingProxy::OnServerRefusal(Call& call) {
+  call.phase = Call::Phase::kEnded;
+  call.timer.Cancel();
+  AnswerNotRun(call, call.refusal, kDrainRetryAfterMs);
+  Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+  ReportLoad();
+  if (call.refusal == kReasonWrongServer && call.server_id == m_gate.server_id) {
+    CloseGate(kReasonNoServer, std::chrono::milliseconds(0));
+    if (m_observer.on_wrong_server) m_observer.on_wrong_server(call.server_id);
+  }
+  RemoveIfEnded(call);
+}
+
 void ServingProxy::OnHead(Call& call, const AnswerHead& head) {
+  if (IsRefusal(head)) {
+    call.refusal = head.status == kHttpMisdirected ? kReasonWrongServer : kReasonServerFull;
+    return;
+  }
   HeaderList headers = head.headers;
   RemoveNodeHeaders(headers);
   int64_t server_us = EventLoop::NowUs() - call.start_us;
@@ -342,6 +433,10 @@
 }
 
 void ServingProxy::OnData(Call& call, evbuffer* data) {
+  if (!call.refusal.empty()) {
+    evbuffer_drain(data, evbuffer_get_length(data));
+    return;
+  }
   if (call.is_keyed() && call.is_storable) {
     size_t length = evbuffer_get_length(data);
     size_t old = call.answer.body.size();
@@ -359,7 +454,13 @@
 }
 
 void ServingProxy::OnDone(Call& call, ExchangeEnd end) {
-  bool is_safe = call.work.mode == RunMode::kRepeatable || end == ExchangeEnd::kNotSent;
+  if (!call.refusal.empty()) {
+    OnServerRefusal(call);
+    return;
+  }
+  // Whoever sent the request decides whether it may reach a server twice.
+  bool is_safe = end == ExchangeEnd::kNotSent ||
+                 (call.work.mode == RunMode::kRepeatable && m_protocol.resends_after_close);
   call.may_have_left = call.may_have_left || end == ExchangeEnd::kBroken;
   if (end != ExchangeEnd::kComplete && is_safe && !call.is_second_try && !call.relay.has_begun() &&
       call.is_attached()) {
@@ -376,6 +477,7 @@
     if (call.is_attached()) call.relay.End(end);
   } else if (!call.may_have_left) {
     AnswerNotRun(call, kReasonUnreachable, kDrainRetryAfterMs);
+    if (m_observer.on_unreachable) m_observer.on_unreachable(call.server_id);
   } else {
     AnswerUnknown(call, kHttpBadGateway);
   }
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -16,6 +16,7 @@
 #include "event_loop.h"
 #include "keyed_orders.h"
 #include "metrics.h"
+#include "outer_protocol.h"
 #include "proxy_error.h"
 #include "random_source.h"
 #include "settings.h"
@@ -25,9 +26,16 @@
 
 class ServingProxy {
  public:
+  // Told when the backend server is found to be another one than the one expected, or cannot be
+  // connected to.
+  struct ServerObserver {
+    std::function<void(const std::string& server_id)> on_wrong_server;
+    std::function<void(const std::string& server_id)> on_unreachable;
+  };
+
   // `incarnation` is that of the process start; keys of another one are never run.
   ServingProxy(EventLoop& loop, const Settings& settings, uint64_t incarnation, Metrics& metrics,
-               RandomSource& random);
+               RandomSource& random, OuterProtocol protocol = {});
   ~ServingProxy();
   ServingProxy(const ServingProxy&) = delete;
   ServingProxy& operator=(const ServingProxy&) = delete;
@@ -38,7 +46,16 @@
   // has been answered whole.
   void StartDrain(std::function<void()> idle);
 
+  // Gives new work to the backend server `server_id` from now on. Without a call the gate is open
+  // and requests name no server.
+  void OpenGate(const std::string& server_id, int slots);
+  // Refuses new work as not run. What is queued still runs for `queue_time`, what runs goes on.
+  void CloseGate(std::string_view reason, std::chrono::milliseconds queue_time);
+  void SetServerObserver(ServerObserver observer) { m_observer = std::move(observer); }
+
   uint16_t port() const { return m_listener.port(); }
+  size_t calls() const { return m_calls.size(); }
+  bool is_gate_open() const { return m_gate.is_open; }
   bool is_draining() const { return m_draining; }
   AdmissionLoad load() const { return LoadOf(m_admission); }
 
@@ -53,7 +70,7 @@
 
   void OnOrder(std::unique_ptr<DownstreamRequest> request, const WorkTag& work);
   bool Withdraw(uint64_t serial);
-  void RefuseDraining(std::unique_ptr<DownstreamRequest> request);
+  void RefuseAtOnce(std::unique_ptr<DownstreamRequest> request, std::string_view reason);
 
   void Admit(std::unique_ptr<DownstreamRequest> request, const WorkTag& work, uint64_t serial);
   void Apply(const AdmissionChanges& changes);
@@ -61,6 +78,10 @@
   void Send(Call& call, std::chrono::milliseconds max_idle);
   void Refuse(Call& call, int64_t retry_after_ms, std::string_view reason);
   void OnHead(Call& call, const AnswerHead& head);
+  bool IsRefusal(const AnswerHead& head) const;
+  HeaderList ServerHeaders(const Call& call) const;
+  void OnServerRefusal(Call& call);
+  void RefuseQueue();
   void OnData(Call& call, evbuffer* data);
   void OnDone(Call& call, ExchangeEnd end);
   void OnTimer(Call& call);
@@ -75,7 +96,17 @@
   void ReportLoad();
   HeaderList NodeHeaders(std::string_view outcome, std::string_view request_id) const;
 
+  // Whether the backend server gets new work, and which one it is.
+  struct Gate {
+    bool is_open = true;
+    std::string server_id;  // Empty: requests name no server.
+    std::string reason;     // Why it is closed.
+  };
+
   EventLoop& m_loop;
+  OuterProtocol m_protocol;
+  ServerObserver m_observer;
+  Gate m_gate;
   std::string m_name;
   Metrics& m_metrics;
   AdmissionPolicy m_admission;
@@ -86,6 +117,7 @@
   uint16_t m_configured_port;
   PendingReplies m_replies;
   Timer m_queue_timer;
+  Timer m_gate_timer;
   std::unordered_map<uint64_t, std::unique_ptr<Call>> m_calls;
   std::map<std::string, Call*, std::less<>> m_by_request_id;
   std::unordered_map<uint64_t, Call*> m_by_serial;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -26,7 +26,7 @@
   double min;
   double max;
 };
-enum class TextKind { kName, kIp, kAny, kZ85Key, kFixedChoice };
+enum class TextKind { kName, kIp, kAddress, kAny, kZ85Key, kFixedChoice };
 struct TextRule {
   TextKind kind;
   std::vector<std::string> choices;
@@ -67,6 +67,7 @@
   const TextRule name{TextKind::kName, {}};
   const TextRule ip{TextKind::kIp, {}};
   const TextRule key{TextKind::kZ85Key, {}};
+  const TextRule address{TextKind::kAddress, {}};
   const TextRule any{TextKind::kAny, {}};
   static const std::vector<KeySpec> kSpecs = {
       GUAVATRAIL_TEXT(node, name, true, name, "Unique name of the node."),
@@ -80,6 +81,16 @@
       GUAVATRAIL_INTEGER(listen, peer_port, true, 1, kMaxPort, "HTTP port for calls from nodes."),
       GUAVATRAIL_INTEGER(listen, control_port, true, 1, kMaxPort, "ZeroMQ port for control."),
       GUAVATRAIL_INTEGER(listen, admin_port, true, 1, kMaxPort, "HTTP port for operators."),
+      GUAVATRAIL_INTEGER(listen, ready_port, false, 0, kMaxPort,
+                         "HTTP port for the platform's readiness questions; 0: none."),
+      GUAVATRAIL_TEXT(listen, caller_address, false, address,
+                      "IP:PORT for callers, in place of caller_port."),
+      GUAVATRAIL_TEXT(listen, control_address, false, address,
+                      "IP:PORT for control, in place of control_port."),
+      GUAVATRAIL_TEXT(listen, ready_address, false, address,
+                      "IP:PORT for readiness questions, in place of ready_port."),
+      GUAVATRAIL_TEXT(server, address, false, address,
+                      "IP:PORT of the backend server, in place of ip and port."),
       GUAVATRAIL_TEXT(server, ip, true, ip, "Address of the backend server."),
       GUAVATRAIL_INTEGER(server, port, true, 1, kMaxPort, "HTTP port of the backend server."),
       GUAVATRAIL_INTEGER(server, slots, false, 1, 4096, "Requests that the server runs at once."),
@@ -87,6 +98,12 @@
                          "Connections that the server accepts."),
       GUAVATRAIL_INTEGER(server, reserved_short_slots, false, 0, 4096,
                          "Slots that only short work may use; less than slots."),
+      GUAVATRAIL_TEXT(platform, api, false,
+                      (TextRule{TextKind::kFixedChoice, {"objects", "metadata_store"}}),
+                      "What the platform speaks: the project's own object API, or the metadata "
+                      "store of the users' platform."),
+      GUAVATRAIL_TEXT(platform, address, false, address,
+                      "IP:PORT of the platform, in place of ip and port."),
       GUAVATRAIL_TEXT(platform, ip, true, ip, "Address of the platform's object API."),
       GUAVATRAIL_INTEGER(platform, port, true, 1, kMaxPort, "Port of the platform's object API."),
       GUAVATRAIL_INTEGER(platform, timeout_ms, false, 10, 60000,
@@ -120,9 +137,13 @@
                       (TextRule{TextKind::kFixedChoice, {"slots", "unlimited"}}),
                       "How a serving node admits requests."),
       GUAVATRAIL_REAL(calls, retry_budget, false, 0.0, 1.0, "Retries allowed per call."),
+      GUAVATRAIL_REAL(calls, shared_retry_reserve, false, 0.0, 1e6,
+                      "Retries that all nodes together may save up for a service; 0: ten each."),
       GUAVATRAIL_REAL(calls, hedge_budget, false, 0.0, 1.0, "Hedged requests allowed per call."),
       GUAVATRAIL_INTEGER(calls, queue_limit, false, 0, 100000,
                          "Requests that may wait at a serving node."),
+      GUAVATRAIL_REAL(lifecycle, grace_s, false, 1.0, 3600.0,
+                      "Seconds from the signal to stop until the process is killed."),
       GUAVATRAIL_TEXT(log, directory, false, any, "Directory of log files; empty: standard error."),
       GUAVATRAIL_INTEGER(log, level, false, 0, 2, "Least severity: 0 info, 1 warning, 2 error."),
   };
@@ -165,6 +186,8 @@
           return "a name of 1 to 63 characters a-z, 0-9 and -";
         case TextKind::kIp:
           return "an IP address";
+        case TextKind::kAddress:
+          return "an address IP:PORT";
         case TextKind::kAny:
           return "text";
         case TextKind::kZ85Key:
@@ -188,6 +211,8 @@
       return IsConfigName(text);
     case TextKind::kIp:
       return IsIp(text);
+    case TextKind::kAddress:
+      return IsAddress(text);
     case TextKind::kAny:
       return true;
     case TextKind::kZ85Key:
@@ -267,6 +292,33 @@
   return {};
 }
 
+// Takes an address apart into `ip` and `port`.
+void SplitAddress(const std::string& address, std::string& ip, int64_t& port) {
+  if (address.empty()) return;
+  size_t colon = address.rfind(':');
+  ip = address.substr(0, colon);
+  port = std::stoi(address.substr(colon + 1));
+}
+
+void SplitAddresses(Settings& settings) {
+  std::string& ip = settings.listen.ip;
+  SplitAddress(settings.listen.caller_address, ip, settings.listen.caller_port);
+  SplitAddress(settings.listen.control_address, ip, settings.listen.control_port);
+  SplitAddress(settings.listen.ready_address, ip, settings.listen.ready_port);
+  SplitAddress(settings.server.address, settings.server.ip, settings.server.port);
+  SplitAddress(settings.platform.address, settings.platform.ip, settings.platform.port);
+}
+
+// Whether another key stands in for the required `spec`, or the chosen platform does without it.
+bool IsReplaced(const KeySpec& spec, const Settings& settings) {
+  if (spec.section == "control") return settings.platform.api != "objects";
+  if (spec.section == "server") return !settings.server.address.empty();
+  if (spec.section == "platform") return !settings.platform.address.empty();
+  if (spec.key == "caller_port") return !settings.listen.caller_address.empty();
+  if (spec.key == "control_port") return !settings.listen.control_address.empty();
+  return false;
+}
+
 }  // namespace
 
 tl::expected<Settings, SettingsError> ParseSettings(std::string_view text, std::string_view file) {
@@ -289,12 +341,13 @@
     if (!parsed) return tl::make_unexpected(parsed.error());
   }
   for (const KeySpec& spec : KeySpecs()) {
-    if (spec.required && seen.count(&spec) == 0) {
+    if (spec.required && seen.count(&spec) == 0 && !IsReplaced(spec, settings)) {
       return tl::make_unexpected(
           ErrorAt(file, 1,
                   spec.section + "." + spec.key + ": missing, required is " + Describe(spec.rule)));
     }
   }
+  SplitAddresses(settings);
   if (settings.server.reserved_short_slots >= settings.server.slots) {
     return tl::make_unexpected(ErrorAt(file, 1,
                                        "server.reserved_short_slots: found " +
@@ -313,6 +366,12 @@
   return ParseSettings(text.str(), path);
 }
 
+bool IsSameButForLog(const Settings& a, const Settings& b) {
+  return a.node == b.node && a.listen == b.listen && a.server == b.server &&
+         a.platform == b.platform && a.membership == b.membership && a.delivery == b.delivery &&
+         a.control == b.control && a.calls == b.calls && a.lifecycle == b.lifecycle;
+}
+
 std::string SettingsReference() {
   std::ostringstream out;
   out << "# Settings of guavatraild\n\nGenerated by `guavatraild --settings-reference`.\n";
--- a/src/settings.h
+++ b/src/settings.h
@@ -14,6 +14,7 @@
   std::string service;
   std::string region;
   std::string data_centre;
+  bool operator==(const NodeSettings&) const = default;
 };
 
 struct ListenSettings {
@@ -25,21 +26,35 @@
   int64_t peer_port = 0;
   int64_t control_port = 0;
   int64_t admin_port = 0;
+  // For the platform's questions whether the node may get callers; 0: none.
+  int64_t ready_port = 0;
+  // "IP:PORT", in place of ip and the port alone; empty: not used.
+  std::string caller_address;
+  std::string control_address;
+  std::string ready_address;
+  bool operator==(const ListenSettings&) const = default;
 };
 
 struct ServerSettings {
+  std::string address;  // "IP:PORT", in place of ip and port; empty: not used.
   std::string ip;
   int64_t port = 0;
   int64_t slots = 9;
   int64_t connections = 130;
   int64_t reserved_short_slots = 2;
+  bool operator==(const ServerSettings&) const = default;
 };
 
 struct PlatformSettings {
+  // What the node speaks with the platform: "objects" is the project's own object API, from which
+  // release notes come; "metadata_store" is the users' store, which holds whole configurations.
+  std::string api = "objects";
+  std::string address;  // "IP:PORT", in place of ip and port; empty: not used.
   std::string ip;
   int64_t port = 0;
   int64_t timeout_ms = 2000;
   int64_t watch_ms = 2500;
+  bool operator==(const PlatformSettings&) const = default;
 };
 
 struct MembershipSettings {
@@ -49,26 +64,37 @@
   int64_t missed_heartbeats = 3;
   int64_t suspicion_ms = 3000;
   int64_t rings = 4;
+  bool operator==(const MembershipSettings&) const = default;
 };
 
 struct DeliverySettings {
   std::string mode = "relay";  // relay, watch_all or pull
   int64_t watchers_per_data_centre = 2;
   int64_t pull_timeout_ms = 500;
+  bool operator==(const DeliverySettings&) const = default;
 };
 
 struct ControlSettings {
   // CURVE keys of the fleet, 40 characters of Z85 each.
   std::string public_key;
   std::string secret_key;
+  bool operator==(const ControlSettings&) const = default;
 };
 
 struct CallsSettings {
   std::string placement = "two_choices";  // two_choices or round_robin
   std::string admission = "slots";        // slots or unlimited
   double retry_budget = 0.1;
+  // Retries that can be saved up by all nodes together for a service; 0: each node its own ten.
+  double shared_retry_reserve = 0;
   double hedge_budget = 0.05;
   int64_t queue_limit = 256;
+  bool operator==(const CallsSettings&) const = default;
+};
+
+struct LifecycleSettings {
+  double grace_s = 30.0;  // From the signal to stop until the process is killed.
+  bool operator==(const LifecycleSettings&) const = default;
 };
 
 struct LogSettings {
@@ -85,6 +111,7 @@
   DeliverySettings delivery;
   ControlSettings control;
   CallsSettings calls;
+  LifecycleSettings lifecycle;
   LogSettings log;
 };
 
@@ -93,6 +120,9 @@
   return settings.listen.advertise_ip.empty() ? settings.listen.ip : settings.listen.advertise_ip;
 }
 
+// Whether two settings differ at most in the log section.
+bool IsSameButForLog(const Settings& a, const Settings& b);
+
 // Names the file, line and key of a wrong setting, what was found and what is allowed.
 struct SettingsError {
   std::string message;
--- /dev/null
+++ b/test/correctness/admission_serves_objectives_first_test.cc
@@ -0,0 +1,86 @@
+// Guards against a burst of requests that all wait their turn and are all answered late.
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "admission.h"
+
+namespace guavatrail {
+namespace {
+
+constexpr int64_t kMs = 1000;
+
+class AdmissionServesObjectivesFirst : public testing::Test {
+ protected:
+  static AdmissionRequest Request(uint64_t id, int64_t now_us, int64_t objective_ms,
+                                  int64_t deadline_ms) {
+    return {.id = id,
+            .importance = 1,
+            .deadline_us = now_us + deadline_ms * kMs,
+            .arrival_us = now_us,
+            .objective_us = now_us + objective_ms * kMs};
+  }
+
+  // Lets the policy learn a service time of 100 ms.
+  void Learn() {
+    for (uint64_t id = 1; id <= 20; ++id) {
+      m_policy.Arrive(Request(id, 0, 400, 2500), 0);
+      m_policy.Finish(id, 100 * kMs, 100 * kMs);
+    }
+  }
+
+  SlotAdmission m_policy{{.slots = 1, .reserved_short_slots = 0, .queue_limit = 64}};
+};
+
+TEST_F(AdmissionServesObjectivesFirst, WhatCannotBeInTimeIsRefusedAtOnce) {
+  Learn();
+  int queued = 0;
+  int refused = 0;
+  for (uint64_t id = 100; id < 120; ++id) {
+    AdmissionDecision decision = m_policy.Arrive(Request(id, 0, 400, 2500), 0);
+    queued += decision.action == AdmissionDecision::Action::kQueue ? 1 : 0;
+    refused += decision.action == AdmissionDecision::Action::kRefuse ? 1 : 0;
+    if (decision.action == AdmissionDecision::Action::kRefuse) {
+      EXPECT_GT(decision.retry_after_ms, 0);
+    }
+  }
+  // One runs and at most three can follow it within 400 ms.
+  EXPECT_LE(queued, 3);
+  EXPECT_GE(queued, 1);
+  EXPECT_EQ(queued + refused, 19);
+}
+
+TEST_F(AdmissionServesObjectivesFirst, ARequestPastItsObjectiveWaitsBehindFreshOnes) {
+  Learn();
+  m_policy.Arrive(Request(100, 0, 400, 2500), 0);
+  AdmissionRequest late = Request(101, 0, 50, 2500);
+  ASSERT_EQ(m_policy.Arrive(late, 0).action, AdmissionDecision::Action::kQueue);
+  ASSERT_EQ(m_policy.Arrive(Request(102, 0, 400, 2500), 0).action,
+            AdmissionDecision::Action::kQueue);
+  EXPECT_EQ(m_policy.Finish(100, 100 * kMs, 100 * kMs).start, std::vector<uint64_t>{102});
+  EXPECT_EQ(m_policy.Finish(102, 100 * kMs, 200 * kMs).start, std::vector<uint64_t>{101});
+}
+
+TEST_F(AdmissionServesObjectivesFirst, ARequestThatMissesItsObjectiveInTheQueueIsStillServed) {
+  Learn();
+  m_policy.Arrive(Request(100, 0, 400, 2500), 0);
+  ASSERT_EQ(m_policy.Arrive(Request(101, 0, 400, 2500), 0).action,
+            AdmissionDecision::Action::kQueue);
+  // The running request takes much longer than predicted.
+  AdmissionChanges changes = m_policy.Finish(100, 900 * kMs, 900 * kMs);
+  EXPECT_EQ(changes.start, std::vector<uint64_t>{101});
+  EXPECT_TRUE(changes.refuse.empty());
+}
+
+TEST_F(AdmissionServesObjectivesFirst, ARequestPastItsDeadlineIsRefused) {
+  Learn();
+  m_policy.Arrive(Request(100, 0, 400, 2500), 0);
+  m_policy.Arrive(Request(101, 0, 400, 2500), 0);
+  AdmissionChanges changes = m_policy.Finish(100, 3000 * kMs, 3000 * kMs);
+  EXPECT_TRUE(changes.start.empty());
+  ASSERT_EQ(changes.refuse.size(), 1U);
+  EXPECT_EQ(changes.refuse[0].id, 101U);
+}
+
+}  // namespace
+}  // namespace guavatrail
--- a/test/error/release_note_names_the_wrong_key_test.cc
+++ b/test/error/release_note_names_the_wrong_key_test.cc
@@ -52,7 +52,7 @@
             "n.toml:1: id: missing, required is a name of 1 to 63 characters a-z, 0-9 and -");
   EXPECT_EQ(ErrorOf("length", "lenght"),
             "n.toml:10: unknown key add.lenght, allowed are type, name, deadline_ms, idempotent, "
-            "importance, length, key");
+            "importance, length, key, attempts, objective_ms");
 }
 
 TEST(ReleaseNoteNamesTheWrongKey, NamesAResourceThatIsNamedTwice) {
