--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -242,6 +242,7 @@
   RemoveNodeHeaders(headers);
   SetHeader(headers, kDeadlineHeader, FormatDeadlineMs(call.deadline_us, EventLoop::NowUs()));
   SetHeader(headers, kWorkHeader, FormatWorkTag(call.work));
+  SetHeader(headers, kServiceHeader, call.service);
   if (call.objective_ms > 0) {
     SetHeader(headers, kObjectiveHeader, FormatDeadlineMs(ObjectiveUsOf(call), EventLoop::NowUs()));
   }
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -16,6 +16,8 @@
 inline constexpr char kWorkHeader[] = "X-Guavatrail-Work";
 // Milliseconds left until the time within which an answer is of full use; absent: the deadline.
 inline constexpr char kObjectiveHeader[] = "X-Guavatrail-Objective-Ms";
+// The service that the entry node means; an address may have passed to a node of another one.
+inline constexpr char kServiceHeader[] = "X-Guavatrail-Service";
 inline constexpr char kIncarnationHeader[] = "X-Guavatrail-Incarnation";
 inline constexpr char kLoadHeader[] = "X-Guavatrail-Load";
 inline constexpr char kOutcomeHeader[] = "X-Guavatrail-Outcome";
@@ -50,6 +52,8 @@
 // The backend server itself turned the request away.
 inline constexpr char kReasonServerFull[] = "server_full";
 inline constexpr char kReasonWrongServer[] = "wrong_server";
+// The node is beside a server of another service than the sender believes.
+inline constexpr char kReasonWrongService[] = "wrong_service";
 // No backend server beside the node takes new work.
 inline constexpr char kReasonNoServer[] = "no_server";
 
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -117,7 +117,10 @@
   const std::string* outcome = FindHeader(headers, kOutcomeHeader);
   if (outcome == nullptr || *outcome != kOutcomeNotRun) return;
   const std::string* reason = FindHeader(headers, kReasonHeader);
-  if (reason != nullptr && *reason == kReasonDraining) {
+  bool is_leaving =
+      reason != nullptr &&
+      (*reason == kReasonDraining || *reason == kReasonNoServer || *reason == kReasonWrongService);
+  if (is_leaving) {
     // A refusal may be known before the membership news that the node is leaving.
     m_tracker.Refused(node, kDrainAvoidMs, now_us);
     return;
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -106,6 +106,7 @@
     : m_loop(loop),
       m_protocol(std::move(protocol)),
       m_name(settings.node.name),
+      m_service(settings.node.service),
       m_metrics(metrics),
       m_admission(MakeAdmission(settings)),
       m_orders(settings.node.name, incarnation),
@@ -152,6 +153,11 @@
     OnOwnPath(std::move(request));
     return;
   }
+  const std::string* service = FindHeader(request->headers(), kServiceHeader);
+  if (service != nullptr && *service != m_service) {
+    RefuseAtOnce(std::move(request), kReasonWrongService);
+    return;
+  }
   WorkTag work = WorkOf(*request);
   if (work.mode == RunMode::kKeyed) {
     OnOrder(std::move(request), work);
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -108,6 +108,7 @@
   ServerObserver m_observer;
   Gate m_gate;
   std::string m_name;
+  std::string m_service;
   Metrics& m_metrics;
   AdmissionPolicy m_admission;
   KeyedOrders m_orders;
--- /dev/null
+++ b/test/correctness/serving_node_guards_its_server_test.cc
@@ -0,0 +1,159 @@
+// Guards against work for a backend server that must not get it, and against false words about what
+// was run: a server that leaves, is another one than expected, or turns work away.
+#include "serving_fixture.h"
+
+namespace guavatrail {
+namespace {
+
+class ServingNodeGuardsItsServer : public ServingFixture {
+ protected:
+  void StartGuarded() {
+    OuterProtocol protocol;
+    protocol.request_id_header = "X-Id";
+    protocol.expected_server_header = "X-Expected";
+    protocol.not_run_header = "X-Refused";
+    protocol.shows_node_headers = false;
+    protocol.resends_after_close = false;
+    Settings settings = MakeSettings();
+    settings.node.service = "encomendas";
+    m_proxy = std::make_unique<ServingProxy>(m_loop, settings, kIncarnation, m_metrics, m_random,
+                                             protocol);
+    m_proxy->SetServerObserver(
+        {.on_wrong_server = [this](const std::string& id) { m_wrong_server = id; },
+         .on_unreachable = [this](const std::string& id) { m_unreachable = id; }});
+    ASSERT_TRUE(m_proxy->Listen());
+    m_proxy->OpenGate("server-1", m_slots);
+  }
+
+  static std::string Repeatable(const std::string& id) {
+    return Lookup("t-" + id) + "X-Id: " + id + "\r\n";
+  }
+
+  // Answers the first running request.
+  void AnswerWith(const std::string& bytes) {
+    FakeConnection* connection = m_running.front().connection;
+    m_running.erase(m_running.begin());
+    connection->Send(bytes);
+  }
+
+  std::string m_wrong_server;
+  std::string m_unreachable;
+};
+
+TEST_F(ServingNodeGuardsItsServer, RequestsNameTheServerAndNoNode) {
+  StartGuarded();
+  auto client = Send("GET", "/a", Repeatable("1"));
+  ASSERT_TRUE(WaitForRunning(1));
+  EXPECT_NE(m_running[0].request.find("X-Expected: server-1\r\n"), std::string::npos);
+  EXPECT_NE(m_running[0].request.find("X-Id: 1\r\n"), std::string::npos);
+  EXPECT_EQ(m_running[0].request.find("X-Guavatrail-Work"), std::string::npos);
+}
+
+TEST_F(ServingNodeGuardsItsServer, ANodeOfAnotherServiceRunsNothing) {
+  StartGuarded();
+  auto client = Ask("GET", "/a", Repeatable("1") + "X-Guavatrail-Service: catalogo\r\n");
+  EXPECT_EQ(client->status(), 503);
+  EXPECT_EQ(client->header("X-Guavatrail-Outcome"), "not-run");
+  EXPECT_EQ(client->header("X-Guavatrail-Reason"), "wrong_service");
+  EXPECT_TRUE(m_running.empty());
+}
+
+TEST_F(ServingNodeGuardsItsServer, AClosedGateRefusesNewWorkAndFinishesTheRest) {
+  m_slots = 1;
+  StartGuarded();
+  auto running = Send("GET", "/1", Repeatable("1"));
+  ASSERT_TRUE(WaitForRunning(1));
+  auto queued = Send("GET", "/2", Repeatable("2"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_proxy->load().queued == 1; }));
+  m_proxy->CloseGate("draining", std::chrono::milliseconds(50));
+  auto late = Ask("GET", "/3", Repeatable("3"));
+  EXPECT_EQ(late->header("X-Guavatrail-Reason"), "draining");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return queued->HasWholeAnswer(); }));
+  EXPECT_EQ(queued->header("X-Guavatrail-Outcome"), "not-run");
+  AnswerWith(Answer(200, "done", "X-Id: 1\r\n"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return running->HasWholeAnswer(); }));
+  EXPECT_EQ(running->status(), 200);
+  EXPECT_EQ(m_server.requests(), 1);
+}
+
+TEST_F(ServingNodeGuardsItsServer, AServerThatTurnsWorkAwayHasNotRunIt) {
+  StartGuarded();
+  auto client = Send("GET", "/a", Repeatable("1"));
+  ASSERT_TRUE(WaitForRunning(1));
+  AnswerWith(Answer(503, "busy", "X-Refused: 1\r\n"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->HasWholeAnswer(); }));
+  EXPECT_EQ(client->header("X-Guavatrail-Outcome"), "not-run");
+  EXPECT_EQ(client->header("X-Guavatrail-Reason"), "server_full");
+  EXPECT_EQ(m_proxy->load().in_service, 0);
+}
+
+TEST_F(ServingNodeGuardsItsServer, AFailureOfTheServerIsPassedOnAsItIs) {
+  StartGuarded();
+  auto client = Send("GET", "/a", Repeatable("1"));
+  ASSERT_TRUE(WaitForRunning(1));
+  AnswerWith(Answer(503, "broken", "X-Id: 1\r\nX-Stamp: s\r\n"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->HasWholeAnswer(); }));
+  EXPECT_EQ(client->header("X-Guavatrail-Outcome"), "answered");
+  EXPECT_EQ(client->header("X-Stamp"), "s");
+  EXPECT_EQ(client->body(), "broken");
+}
+
+TEST_F(ServingNodeGuardsItsServer, AnotherServerAtTheAddressClosesTheGate) {
+  StartGuarded();
+  auto client = Send("GET", "/a", Repeatable("1"));
+  ASSERT_TRUE(WaitForRunning(1));
+  AnswerWith(Answer(421, ""));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->HasWholeAnswer(); }));
+  EXPECT_EQ(client->header("X-Guavatrail-Reason"), "wrong_server");
+  EXPECT_EQ(m_wrong_server, "server-1");
+  EXPECT_FALSE(m_proxy->is_gate_open());
+}
+
+TEST_F(ServingNodeGuardsItsServer, ALateAnswerToAnEarlierRequestIsPassedOver) {
+  StartGuarded();
+  auto first = Send("GET", "/1", Repeatable("1"));
+  ASSERT_TRUE(WaitForRunning(1));
+  FakeConnection* connection = m_running.front().connection;
+  AnswerWith(Answer(200, "one", "X-Id: 1\r\n"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return first->HasWholeAnswer(); }));
+  auto second = Send("GET", "/2", Repeatable("2"));
+  ASSERT_TRUE(WaitForRunning(1));
+  ASSERT_EQ(m_running.front().connection, connection);
+  connection->Send(Answer(200, "one", "X-Id: 1\r\n"));
+  RunFor(m_loop, std::chrono::milliseconds(20));
+  EXPECT_FALSE(second->HasWholeAnswer());
+  AnswerWith(Answer(200, "two", "X-Id: 2\r\n"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return second->HasWholeAnswer(); }));
+  EXPECT_EQ(second->body(), "two");
+}
+
+TEST_F(ServingNodeGuardsItsServer, ASuccessWithoutAnIdIsNobodysAnswer) {
+  StartGuarded();
+  auto client = Send("GET", "/1", Repeatable("1"));
+  ASSERT_TRUE(WaitForRunning(1));
+  AnswerWith(Answer(200, "one"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->HasWholeAnswer(); }));
+  EXPECT_EQ(client->header("X-Guavatrail-Outcome"), "unknown");
+}
+
+// The entry node decides whether a request may reach a server a second time.
+TEST_F(ServingNodeGuardsItsServer, ARequestThatMayHaveRunIsNotSentAgain) {
+  StartGuarded();
+  auto client = Send("GET", "/1", Repeatable("1"));
+  ASSERT_TRUE(WaitForRunning(1));
+  m_running.front().connection->Close();
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->HasWholeAnswer(); }));
+  EXPECT_EQ(client->header("X-Guavatrail-Outcome"), "unknown");
+  EXPECT_EQ(m_server.requests(), 1);
+}
+
+TEST_F(ServingNodeGuardsItsServer, AServerThatCannotBeReachedIsReported) {
+  m_server_port = UnusedPort();
+  StartGuarded();
+  auto client = Ask("GET", "/1", Repeatable("1"));
+  EXPECT_EQ(client->header("X-Guavatrail-Reason"), "unreachable");
+  EXPECT_EQ(m_unreachable, "server-1");
+}
+
+}  // namespace
+}  // namespace guavatrail
