--- a/apps/guavatraild.cc
+++ b/apps/guavatraild.cc
@@ -2,11 +2,14 @@
 #include <glog/logging.h>
 #include <sodium.h>
 #include <tclap/CmdLine.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <iostream>
+#include <optional>
 
 #include "event_loop.h"
+#include "log_output.h"
 #include "mesh_node.h"
 #include "node.h"
 #include "settings.h"
@@ -53,10 +56,14 @@
 void StartLogging(const guavatrail::LogSettings& log) {
   google::InitGoogleLogging("guavatraild");
   FLAGS_minloglevel = static_cast<int>(log.level);
-  if (log.directory.empty()) {
-    FLAGS_logtostderr = true;
-  } else {
+  if (!log.directory.empty()) {
     FLAGS_log_dir = log.directory;
+    return;
+  }
+  // Lines go to standard output through LogOutput; what ends the process goes to standard error.
+  FLAGS_stderrthreshold = google::GLOG_FATAL;
+  for (int level = google::GLOG_INFO; level <= google::GLOG_FATAL; ++level) {
+    google::SetLogDestination(static_cast<google::LogSeverity>(level), "");
   }
 }
 
@@ -76,6 +83,8 @@
 template <typename NodeType>
 int RunNode(const std::string& file, const guavatrail::Settings& settings) {
   guavatrail::EventLoop loop;
+  std::optional<guavatrail::LogOutput> output;
+  if (settings.log.directory.empty()) output.emplace(loop, STDOUT_FILENO);
   NodeType node(loop, settings);
   auto started = node.Start();
   if (!started) {
--- /dev/null
+++ b/src/log_output.h
@@ -0,0 +1,65 @@
+// Defines LogOutput, which writes the process's log lines to standard output without ever waiting
+// for the reader.
+#pragma once
+
+#include <glog/logging.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "event_loop.h"
+#include "metrics.h"
+
+namespace guavatrail {
+
+// Bounds what is written: a token bucket for lines, and a buffer for a reader that is slow. What
+// does not fit is dropped and counted; a line tells how much, once there is room again.
+class LogVolume {
+ public:
+  struct Options {
+    double lines_per_second = 400;
+    double burst_lines = 2'000;
+    size_t buffer_bytes = 262'144;
+  };
+
+  LogVolume() : LogVolume(Options{}) {}
+  explicit LogVolume(Options options) : m_options(options), m_tokens(options.burst_lines) {}
+
+  // Takes a line, or drops it. Warnings and errors need no token. Time is in microseconds.
+  bool Offer(std::string_view line, bool is_urgent, int64_t now_us);
+  const std::string& pending() const { return m_pending; }
+  void Written(size_t bytes) { m_pending.erase(0, bytes); }
+  uint64_t dropped() const { return m_dropped; }
+
+ private:
+  Options m_options;
+  double m_tokens;
+  int64_t m_last_us = 0;
+  uint64_t m_dropped = 0;
+  uint64_t m_reported = 0;
+  std::string m_pending;
+};
+
+// While it lives, it is the only destination of the log.
+class LogOutput : public google::LogSink {
+ public:
+  LogOutput(EventLoop& loop, int fd);
+  ~LogOutput() override;
+  LogOutput(const LogOutput&) = delete;
+  LogOutput& operator=(const LogOutput&) = delete;
+
+  void send(google::LogSeverity severity, const char* full_filename, const char* base_filename,
+            int line, const google::LogMessageTime& time, const char* message,
+            size_t length) override;
+  uint64_t dropped() const { return m_volume.dropped(); }
+
+ private:
+  void Flush();
+
+  int m_fd;
+  LogVolume m_volume;
+  Timer m_timer;
+};
+
+}  // namespace guavatrail
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -144,7 +144,8 @@
                          "Requests that may wait at a serving node."),
       GUAVATRAIL_REAL(lifecycle, grace_s, false, 1.0, 3600.0,
                       "Seconds from the signal to stop until the process is killed."),
-      GUAVATRAIL_TEXT(log, directory, false, any, "Directory of log files; empty: standard error."),
+      GUAVATRAIL_TEXT(log, directory, false, any,
+                      "Directory of log files; empty: standard output."),
       GUAVATRAIL_INTEGER(log, level, false, 0, 2, "Least severity: 0 info, 1 warning, 2 error."),
   };
   return kSpecs;
--- a/src/settings.h
+++ b/src/settings.h
@@ -98,7 +98,7 @@
 };
 
 struct LogSettings {
-  std::string directory;  // Empty: standard error.
+  std::string directory;  // Empty: standard output.
   int64_t level = 0;      // 0 info, 1 warning, 2 error
 };
 
