--- /dev/null
+++ b/test/platform/store_followers_test.cc
@@ -0,0 +1,160 @@
+// Guards against a node that stops following the store after an outage, a dropped history or a
+// silent connection, and against a stored record that is lost, stale or undone by a late write.
+#include <gtest/gtest.h>
+
+#include "fake_store.h"
+#include "kind_watcher.h"
+#include "record_keeper.h"
+#include "test_loop.h"
+
+namespace guavatrail::platform {
+namespace {
+
+using nlohmann::json;
+
+class StoreFollowers : public testing::Test {
+ protected:
+  StoreFollowers()
+      : m_store(m_loop),
+        m_client(m_loop, {"127.0.0.1", m_store.port(), std::chrono::milliseconds(150)}, m_metrics),
+        m_watcher(m_loop, m_client, m_random,
+                  {.kind = "things", .wait = std::chrono::milliseconds(200)},
+                  {.reading_started = [this] { m_seen.clear(); },
+                   .put = [this](const StoredObject& o) { m_seen[o.name] = o.spec; },
+                   .removed = [this](const std::string& name) { m_seen.erase(name); },
+                   .reading_finished = [] {}}),
+        m_keeper(m_loop, m_client, m_random, "node-1") {}
+
+  static NodeRecord RecordOf(uint64_t sequence, bool draining = false) {
+    NodeRecord record;
+    record.endpoint = {
+        .node = "node-1", .service = "catalogo", .ip = "10.0.0.1", .peer_port = 7620};
+    record.endpoint.draining = draining;
+    record.report.lifetime = {"i-1", 5};
+    record.report.sequence = sequence;
+    record.report.state = draining ? ServerState::kDraining : ServerState::kReady;
+    return record;
+  }
+
+  const json* Stored() const { return m_store.Find(kEndpointKind, "node-1"); }
+  bool IsStored(const NodeRecord& record) const {
+    return Stored() != nullptr && *Stored() == EncodeRecord(record);
+  }
+
+  EventLoop m_loop;
+  Metrics m_metrics;
+  RandomSource m_random{3};
+  FakeStore m_store;
+  StoreClient m_client;
+  std::map<std::string, json> m_seen;
+  KindWatcher m_watcher;
+  RecordKeeper m_keeper;
+};
+
+TEST_F(StoreFollowers, TheWatcherSeesWhatIsThereAndWhatChanges) {
+  m_store.Put("things", "a", 1);
+  m_watcher.Start();
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_seen["a"] == 1; }));
+  m_store.Put("things", "b", 2);
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_seen["b"] == 2; }));
+  m_store.Remove("things", "a");
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return !m_seen.contains("a"); }));
+}
+
+TEST_F(StoreFollowers, TheWatcherReadsAnewWhenTheHistoryIsGone) {
+  m_watcher.Start();
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_store.waiting() == 1; }));
+  m_store.Compact();
+  m_store.Put("things", "a", 1);
+  m_store.Compact();
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return m_seen["a"] == 1; }));
+}
+
+TEST_F(StoreFollowers, TheWatcherGoesOnAfterEachKindOfOutage) {
+  m_watcher.Start();
+  int value = 0;
+  for (FakeStore::Mode mode :
+       {FakeStore::Mode::kBusy, FakeStore::Mode::kLimited, FakeStore::Mode::kSilent}) {
+    m_store.SetMode(mode);
+    RunFor(m_loop, std::chrono::milliseconds(400));
+    EXPECT_FALSE(m_watcher.is_connected());
+    m_store.SetMode(FakeStore::Mode::kWell);
+    m_store.Put("things", "a", ++value);
+    EXPECT_TRUE(RunUntil(m_loop, [&] { return m_seen["a"] == value; }));
+    EXPECT_TRUE(m_watcher.is_connected());
+  }
+}
+
+TEST_F(StoreFollowers, AWatchThatHasGoneSilentIsReplaced) {
+  m_watcher.Start();
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_store.waiting() == 1; }));
+  m_store.SilenceWatches();
+  m_store.Put("things", "a", 1);
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return m_seen["a"] == 1; }));
+}
+
+TEST_F(StoreFollowers, OutagesAreNotMetWithAStormOfCalls) {
+  m_store.SetMode(FakeStore::Mode::kBusy);
+  m_watcher.Start();
+  RunFor(m_loop, std::chrono::milliseconds(2000));
+  EXPECT_LE(m_store.calls(), 12);
+}
+
+TEST_F(StoreFollowers, TheRecordIsCreatedAndReplaced) {
+  m_keeper.Want(RecordOf(1));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(1)); }));
+  m_keeper.Want(RecordOf(2, true));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(2, true)); }));
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return m_keeper.is_stored(); }));
+  EXPECT_EQ(m_store.writes(), 2);
+}
+
+TEST_F(StoreFollowers, ARecordOfAnEarlierProcessIsReplaced) {
+  m_store.Put(kEndpointKind, "node-1", EncodeRecord(RecordOf(9, true)));
+  m_keeper.Want(RecordOf(10));
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(10)); }));
+}
+
+TEST_F(StoreFollowers, ALostAnswerIsMadeGood) {
+  m_store.SetMode(FakeStore::Mode::kLosesAnswers);
+  m_keeper.Want(RecordOf(1));
+  RunFor(m_loop, std::chrono::milliseconds(250));
+  m_keeper.Want(RecordOf(2, true));
+  m_store.SetMode(FakeStore::Mode::kWell);
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(2, true)); }));
+}
+
+TEST_F(StoreFollowers, ALateWriteDoesNotUndoANewerOne) {
+  m_keeper.Want(RecordOf(1));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_keeper.is_stored(); }));
+  m_keeper.Want(RecordOf(2));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(2)) && m_keeper.is_stored(); }));
+  m_keeper.Want(RecordOf(3, true));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(3, true)); }));
+  for (int number = 0; number < 2; ++number) EXPECT_FALSE(m_store.ReplayWrite(number));
+  EXPECT_TRUE(IsStored(RecordOf(3, true)));
+}
+
+TEST_F(StoreFollowers, ALapsedRecordIsBackWithinTwoSeconds) {
+  m_keeper.Want(RecordOf(1));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_keeper.is_stored(); }));
+  m_store.Remove(kEndpointKind, "node-1");
+  m_keeper.SeenRemoved();
+  EXPECT_TRUE(RunUntil(
+      m_loop, [&] { return IsStored(RecordOf(1)); }, std::chrono::milliseconds(2000)));
+}
+
+TEST_F(StoreFollowers, WaitersAreToldOnceTheRecordIsStored) {
+  bool told = false;
+  m_store.SetMode(FakeStore::Mode::kBusy);
+  m_keeper.Want(RecordOf(1, true));
+  m_keeper.WhenStored([&] { told = true; });
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  EXPECT_FALSE(told);
+  m_store.SetMode(FakeStore::Mode::kWell);
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return told; }));
+  EXPECT_TRUE(IsStored(RecordOf(1, true)));
+}
+
+}  // namespace
+}  // namespace guavatrail::platform
--- /dev/null
+++ b/test/support/fake_store.cc
@@ -0,0 +1,202 @@
+#include "fake_store.h"
+
+#include <stdexcept>
+
+namespace guavatrail {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kPrefix = "/guavatrail/objects/";
+
+// The value of `key` in the query of `target`; empty when absent.
+std::string QueryValue(const std::string& target, const std::string& key) {
+  size_t query = target.find('?');
+  if (query == std::string::npos) return "";
+  std::string rest = "&" + target.substr(query + 1);
+  size_t at = rest.find("&" + key + "=");
+  if (at == std::string::npos) return "";
+  at += key.size() + 2;
+  return rest.substr(at, rest.find('&', at) - at);
+}
+
+uint64_t NumberOr(const std::string& text, uint64_t otherwise) {
+  return text.empty() ? otherwise : std::stoull(text);
+}
+
+}  // namespace
+
+FakeStore::FakeStore(EventLoop& loop)
+    : m_loop(loop),
+      m_listener(loop, [this](auto request) { OnRequest(std::move(request)); }),
+      m_replies(loop) {
+  if (!m_listener.Listen("127.0.0.1", 0)) throw std::runtime_error("no port for the fake store");
+}
+
+void FakeStore::Reply(std::unique_ptr<DownstreamRequest> request, int status, const json& body) {
+  m_replies.Reply(std::move(request), status, {{"Content-Type", "application/json"}},
+                  body.is_null() ? "" : body.dump());
+}
+
+void FakeStore::OnRequest(std::unique_ptr<DownstreamRequest> request) {
+  ++m_calls;
+  if (m_mode == Mode::kSilent) {
+    m_silent.push_back(std::move(request));
+    return;
+  }
+  if (m_mode == Mode::kBusy || m_mode == Mode::kLimited) {
+    Reply(std::move(request), m_mode == Mode::kBusy ? 503 : 429, nullptr);
+    return;
+  }
+  std::string path(request->path().substr(kPrefix.size()));
+  size_t slash = path.find('/');
+  std::string kind = path.substr(0, slash);
+  std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+  if (request->method() == EVHTTP_REQ_GET) {
+    std::string watch = QueryValue(request->target(), "watch");
+    if (watch.empty()) {
+      OnList(std::move(request), kind);
+      return;
+    }
+    auto wait_ms = static_cast<int64_t>(NumberOr(QueryValue(request->target(), "wait-ms"), 0));
+    OnWatch(std::move(request), kind, std::stoull(watch), wait_ms);
+    return;
+  }
+  Write write{request->method(), kind, name, json::parse(*request->body(), nullptr, false),
+              NumberOr(QueryValue(request->target(), "rev"), 0)};
+  if (write.body.is_object() && write.body["metadata"].contains("rev")) {
+    write.condition = write.body["metadata"]["rev"].get<uint64_t>();
+  }
+  if (write.name.empty()) write.name = write.body["metadata"]["name"].get<std::string>();
+  m_writes.push_back(write);
+  Result result = Apply(write);
+  if (m_mode == Mode::kLosesAnswers) {
+    m_silent.push_back(std::move(request));
+  } else {
+    Reply(std::move(request), result.status, result.body);
+  }
+}
+
+FakeStore::Result FakeStore::Apply(const Write& write) {
+  auto& objects = m_kinds[write.kind];
+  auto it = objects.find(write.name);
+  if (write.method == EVHTTP_REQ_POST) {
+    if (it != objects.end()) return {409, it->second.value};
+    Store(write.kind, write.name, write.body["spec"]);
+    return {200, objects[write.name].value};
+  }
+  if (it == objects.end()) return {404, nullptr};
+  if (write.condition != 0 && write.condition != it->second.revision) {
+    return {409, it->second.value};
+  }
+  if (write.method == EVHTTP_REQ_DELETE) {
+    json before = it->second.value;
+    Erase(write.kind, write.name);
+    return {200, before};
+  }
+  if (it->second.value["spec"] != write.body["spec"]) {
+    Store(write.kind, write.name, write.body["spec"]);
+  }
+  return {200, objects[write.name].value};
+}
+
+bool FakeStore::ReplayWrite(size_t number) { return Apply(m_writes.at(number)).status == 200; }
+
+void FakeStore::Put(const std::string& kind, const std::string& name, const json& spec) {
+  Store(kind, name, spec);
+}
+
+void FakeStore::Remove(const std::string& kind, const std::string& name) { Erase(kind, name); }
+
+void FakeStore::Store(const std::string& kind, const std::string& name, const json& spec) {
+  Object& object = m_kinds[kind][name];
+  object.revision = ++m_revision;
+  object.value = {
+      {"metadata", {{"name", name}, {"rev", m_revision}, {"finalizers", json::array()}}},
+      {"spec", spec},
+      {"status", nullptr}};
+  Changed(kind, object.value, false);
+}
+
+void FakeStore::Erase(const std::string& kind, const std::string& name) {
+  auto it = m_kinds[kind].find(name);
+  if (it == m_kinds[kind].end()) return;
+  json value = it->second.value;
+  m_kinds[kind].erase(it);
+  ++m_revision;
+  Changed(kind, value, true);
+}
+
+void FakeStore::Changed(const std::string& kind, const json& object, bool removed) {
+  m_history.push_back({m_revision, kind, {{"removed", removed}, {"object", object}}});
+  AnswerWatches(false);
+}
+
+void FakeStore::OnList(std::unique_ptr<DownstreamRequest> request, const std::string& kind) {
+  json items = json::array();
+  for (const auto& [name, object] : m_kinds[kind]) items.push_back(object.value);
+  Reply(std::move(request), 200,
+        {{"items", items}, {"has-more", false}, {"current-rev", m_revision}});
+}
+
+json FakeStore::EventsSince(const std::string& kind, uint64_t revision) const {
+  json events = json::array();
+  for (const Change& change : m_history) {
+    if (change.kind == kind && change.revision > revision) events.push_back(change.event);
+  }
+  return events;
+}
+
+void FakeStore::OnWatch(std::unique_ptr<DownstreamRequest> request, const std::string& kind,
+                        uint64_t revision, int64_t wait_ms) {
+  if (revision < m_oldest) {
+    Reply(std::move(request), 410, nullptr);
+    return;
+  }
+  auto watch = std::make_unique<Watch>();
+  watch->kind = kind;
+  watch->revision = revision;
+  watch->request = std::move(request);
+  Watch* raw = watch.get();
+  watch->timer = std::make_unique<Timer>(m_loop, [this, raw] {
+    raw->revision = 0;
+    raw->kind = "";
+    AnswerWatches(true);
+  });
+  watch->timer->Start(std::chrono::milliseconds(wait_ms));
+  m_waiting.push_back(std::move(watch));
+  AnswerWatches(false);
+}
+
+// Watches whose kind was taken away have waited long enough and get no events.
+void FakeStore::AnswerWatches(bool all) {
+  for (auto& watch : m_waiting) {
+    json events = watch->kind.empty() ? json::array() : EventsSince(watch->kind, watch->revision);
+    if (watch->request == nullptr) continue;
+    if (events.empty() && !(all && watch->kind.empty())) continue;
+    Reply(std::move(watch->request), 200, {{"events", events}, {"current-rev", m_revision}});
+    watch->is_done = true;
+  }
+  if (!all) m_waiting.remove_if([](const auto& watch) { return watch->is_done; });
+}
+
+void FakeStore::Compact() {
+  m_history.clear();
+  m_oldest = ++m_revision;
+  m_waiting.clear();
+}
+
+void FakeStore::SilenceWatches() {
+  for (auto& watch : m_waiting) m_silent.push_back(std::move(watch->request));
+  m_waiting.clear();
+}
+
+const json* FakeStore::Find(const std::string& kind, const std::string& name) const {
+  auto objects = m_kinds.find(kind);
+  if (objects == m_kinds.end()) return nullptr;
+  auto it = objects->second.find(name);
+  return it == objects->second.end() ? nullptr : &it->second.value["spec"];
+}
+
+}  // namespace guavatrail
