--- /dev/null
+++ b/test/platform/mesh_node_test.cc
@@ -0,0 +1,221 @@
+// Guards the path of a request over nodes on the users' platform: what a node believes of
+// configuration and servers, and what it tells callers, the platform and the server beside it.
+#include "endpoint_record.h"
+#include "mesh_fixture.h"
+
+namespace guavatrail {
+namespace {
+
+class MeshNodeTest : public MeshFixture {
+ protected:
+  void StartPair() {
+    m_entry = &AddMachine("front");
+    m_serving = &AddMachine("catalogo");
+    PutConfig(7, "catalogo");
+    ASSERT_EQ(Report(*m_serving, "i-1"), 200);
+    ASSERT_TRUE(CallUntil(*m_entry, "/parts/1", 200));
+    m_serving->requests.clear();
+  }
+
+  Machine* m_entry = nullptr;
+  Machine* m_serving = nullptr;
+};
+
+TEST_F(MeshNodeTest, ANodeWithoutAConfigurationIsNotReadyAndRefuses) {
+  Machine& machine = AddMachine("catalogo");
+  EXPECT_FALSE(IsReady(machine));
+  auto answer = Call(machine, "/parts/1", "1");
+  EXPECT_EQ(answer->status(), 503);
+  EXPECT_NE(answer->header("Retry-After"), "");
+  PutConfig(7, "catalogo");
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return IsReady(machine); }));
+}
+
+TEST_F(MeshNodeTest, ARequestReachesTheServerAndItsAnswerTheCaller) {
+  StartPair();
+  auto answer = Call(*m_entry, "/parts/1?a=b", "id-1");
+  EXPECT_EQ(answer->status(), 200);
+  EXPECT_EQ(answer->body(), "done");
+  EXPECT_EQ(answer->header("X-Response-Stamp"), "stamp");
+  EXPECT_EQ(answer->header("X-Guavatrail-Outcome"), "");
+  ASSERT_EQ(m_serving->requests.size(), 1U);
+  const std::string& request = m_serving->requests[0];
+  EXPECT_TRUE(request.starts_with("GET /parts/1?a=b HTTP/1.1\r\n"));
+  EXPECT_EQ(HeaderIn(request, "X-Request-Id"), "id-1");
+  EXPECT_EQ(HeaderIn(request, "X-Caller-Service"), "front");
+  EXPECT_EQ(HeaderIn(request, "X-Expect-Instance"), "i-1");
+  EXPECT_EQ(HeaderIn(request, "Host"), "shop.example");
+  int64_t left_ms = std::stoll(HeaderIn(request, "X-Deadline-Ms"));
+  EXPECT_GT(left_ms, 1500);
+  EXPECT_LE(left_ms, 2000);
+}
+
+TEST_F(MeshNodeTest, ACallerCannotNameItsOwnServiceOrServer) {
+  StartPair();
+  Ask(m_entry->settings.listen.caller_port, "GET", "/parts/1",
+      CallHeaders("1") + "X-Caller-Service: kassa\r\nX-Expect-Instance: i-9\r\n");
+  ASSERT_EQ(m_serving->requests.size(), 1U);
+  EXPECT_EQ(HeaderIn(m_serving->requests[0], "X-Caller-Service"), "front");
+  EXPECT_EQ(HeaderIn(m_serving->requests[0], "X-Expect-Instance"), "i-1");
+}
+
+TEST_F(MeshNodeTest, AnOlderConfigurationIsNotTakenUp) {
+  StartPair();
+  PutConfig(5, "elsewhere");
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 200);
+}
+
+TEST_F(MeshNodeTest, AnUnreadableConfigurationLeavesTheLastOneInForce) {
+  StartPair();
+  m_store.Put("config", "main", {{"version", 9}, {"listeners", "?"}});
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 200);
+}
+
+TEST_F(MeshNodeTest, AChangeIsInForceWithinTwoSeconds) {
+  StartPair();
+  Machine& other = AddMachine("manuais");
+  ASSERT_EQ(Report(other, "i-2"), 200);
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  PutConfig(8, "manuais");
+  EXPECT_TRUE(RunUntil(
+      m_loop,
+      [&] {
+        Call(*m_entry, "/parts/1", "1");
+        return !other.requests.empty();
+      },
+      std::chrono::milliseconds(2000)));
+}
+
+TEST_F(MeshNodeTest, ADrainingServerGetsNoNewWorkOnceAcknowledged) {
+  StartPair();
+  EXPECT_EQ(Report(*m_serving, "i-1", "draining"), 200);
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+  m_serving->sequence -= 2;
+  EXPECT_EQ(Report(*m_serving, "i-1", "ready"), 200);
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "2")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+}
+
+TEST_F(MeshNodeTest, ALeaveIsAcknowledgedWhileTheStoreIsAway) {
+  StartPair();
+  m_store.SetMode(FakeStore::Mode::kSilent);
+  EXPECT_EQ(Leave(*m_serving, "i-1"), 200);
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+}
+
+TEST_F(MeshNodeTest, ARestartedNodeKnowsThatItsServerHasLeft) {
+  StartPair();
+  EXPECT_EQ(Leave(*m_serving, "i-1"), 200);
+  m_serving->node.reset();
+  StartNode(*m_serving);
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  EXPECT_EQ(Report(*m_serving, "i-1"), 200);
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+}
+
+TEST_F(MeshNodeTest, ARestartedNodeServesAgainWithoutAReport) {
+  StartPair();
+  m_serving->node.reset();
+  StartNode(*m_serving);
+  EXPECT_TRUE(CallUntil(*m_entry, "/parts/1", 200));
+}
+
+TEST_F(MeshNodeTest, AForgedReportChangesNothing) {
+  StartPair();
+  std::string path = "/guavatrail/instances/i-9";
+  EXPECT_EQ(Ask(m_serving->settings.listen.control_port, "PUT", path, "", "\x81?")->status(), 400);
+  EXPECT_EQ(Ask(m_serving->settings.listen.control_port, "PUT", path, "",
+                R"({"service":"manuais","address":"127.0.0.1:1","state":"ready","seq":1})")
+                ->status(),
+            200);
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 200);
+}
+
+TEST_F(MeshNodeTest, AnOrderThatMayHaveRunIsNotSentAgainAndNotCalledRefused) {
+  StartPair();
+  Machine& second = AddMachine("catalogo");
+  ASSERT_EQ(Report(second, "i-2"), 200);
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  auto cut = [](FakeConnection& c, const std::string&) { c.Close(); };
+  m_serving->handler = cut;
+  second.handler = cut;
+  auto answer = Ask(m_entry->settings.listen.caller_port, "POST", "/orders/1", CallHeaders("o-1"),
+                    "one spring");
+  EXPECT_EQ(answer->status(), 502);
+  EXPECT_EQ(m_serving->requests.size() + second.requests.size(), 1U);
+}
+
+TEST_F(MeshNodeTest, ARefusalOfAServerSendsAnOrderElsewhere) {
+  StartPair();
+  Machine& second = AddMachine("catalogo");
+  ASSERT_EQ(Report(second, "i-2"), 200);
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  m_serving->handler = [](FakeConnection& c, const std::string&) {
+    c.Send(Answer(503, "", "X-Not-Run: 1\r\n"));
+  };
+  for (int i = 0; i < 8; ++i) {
+    auto answer = Ask(m_entry->settings.listen.caller_port, "POST", "/orders/1",
+                      CallHeaders("o-" + std::to_string(i)), "one spring");
+    EXPECT_EQ(answer->status(), 200) << i;
+  }
+  EXPECT_EQ(second.requests.size(), 8U);
+}
+
+TEST_F(MeshNodeTest, ACallerThatLeavesCancelsTheWork) {
+  StartPair();
+  FakeConnection* connection = nullptr;
+  m_serving->handler = [&](FakeConnection& c, const std::string&) { connection = &c; };
+  auto client = Send(m_entry->settings.listen.caller_port, "GET", "/parts/1", CallHeaders("1"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return connection != nullptr; }));
+  client->Close();
+  EXPECT_TRUE(RunUntil(
+      m_loop, [&] { return connection->peer_closed(); }, std::chrono::milliseconds(500)));
+}
+
+TEST_F(MeshNodeTest, ARequestHasItsFinalAnswerAtItsTimeout) {
+  StartPair();
+  PutConfig(8, "catalogo", 0.3);
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  m_serving->handler = [](FakeConnection&, const std::string&) {};
+  auto start = std::chrono::steady_clock::now();
+  auto answer = Call(*m_entry, "/parts/1", "1");
+  EXPECT_EQ(answer->status(), 504);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, std::chrono::milliseconds(700));
+}
+
+TEST_F(MeshNodeTest, AStoppingNodeSaysSoAndFinishesWhatRuns) {
+  StartPair();
+  FakeConnection* connection = nullptr;
+  std::string request;
+  m_serving->handler = [&](FakeConnection& c, const std::string& text) {
+    connection = &c;
+    request = text;
+  };
+  auto client = Send(m_entry->settings.listen.caller_port, "GET", "/parts/1", CallHeaders("1"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return connection != nullptr; }));
+  m_serving->node->Stop();
+  EXPECT_FALSE(IsReady(*m_serving));
+  // A heartbeat must not bring the node back into use.
+  Report(*m_serving, "i-1");
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "2")->status(), 503);
+  connection->Send(ServerAnswer(request, "done"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->HasWholeAnswer(); }));
+  EXPECT_EQ(client->status(), 200);
+}
+
+TEST_F(MeshNodeTest, ALapsedEntryIsWrittenAgain) {
+  StartPair();
+  m_store.Remove(platform::kEndpointKind, "node-2");
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 200);
+  EXPECT_TRUE(RunUntil(
+      m_loop, [&] { return m_store.Find(platform::kEndpointKind, "node-2") != nullptr; },
+      std::chrono::milliseconds(2000)));
+}
+
+}  // namespace
+}  // namespace guavatrail
--- /dev/null
+++ b/test/support/mesh_fixture.h
@@ -0,0 +1,164 @@
+// Defines MeshFixture, nodes on a fake store, each with a fake backend server that reports to it.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "fake_server.h"
+#include "fake_store.h"
+#include "mesh_node.h"
+#include "test_loop.h"
+
+namespace guavatrail {
+
+class MeshFixture : public testing::Test {
+ protected:
+  struct Machine {
+    Settings settings;
+    std::unique_ptr<FakeServer> server;
+    std::unique_ptr<platform::MeshNode> node;
+    std::vector<std::string> requests;  // That the server got.
+    FakeServer::Handler handler;
+    uint64_t sequence = 0;
+  };
+
+  static std::string HeaderIn(const std::string& request, const std::string& name) {
+    size_t at = request.find("\r\n" + name + ": ");
+    if (at == std::string::npos) return "";
+    at += name.size() + 4;
+    return request.substr(at, request.find("\r\n", at) - at);
+  }
+
+  // A server's answer to `request`.
+  static std::string ServerAnswer(const std::string& request, const std::string& body) {
+    return Answer(
+        200, body,
+        "X-Request-Id: " + HeaderIn(request, "X-Request-Id") + "\r\nX-Response-Stamp: stamp\r\n");
+  }
+
+  Machine& AddMachine(const std::string& service) {
+    m_machines.push_back(std::make_unique<Machine>());
+    Machine& machine = *m_machines.back();
+    machine.handler = [](FakeConnection& c, const std::string& request) {
+      c.Send(ServerAnswer(request, "done"));
+    };
+    machine.server = std::make_unique<FakeServer>(
+        m_loop, [&machine](FakeConnection& c, const std::string& request) {
+          machine.requests.push_back(request);
+          machine.handler(c, request);
+        });
+    Settings& settings = machine.settings;
+    settings.node = {"node-" + std::to_string(m_machines.size()), service, "norte", "braga"};
+    settings.listen.ip = "127.0.0.1";
+    settings.listen.caller_port = UnusedPort();
+    settings.listen.control_port = UnusedPort();
+    settings.listen.ready_port = UnusedPort();
+    settings.listen.admin_port = UnusedPort();
+    settings.server.ip = "127.0.0.1";
+    settings.server.port = machine.server->port();
+    settings.server.reserved_short_slots = 0;
+    settings.platform.ip = "127.0.0.1";
+    settings.platform.port = m_store.port();
+    settings.platform.timeout_ms = 300;
+    settings.calls.hedge_budget = 0;
+    settings.lifecycle.grace_s = 6;
+    StartNode(machine);
+    return machine;
+  }
+
+  void StartNode(Machine& machine) {
+    machine.node = std::make_unique<platform::MeshNode>(m_loop, machine.settings);
+    auto started = machine.node->Start();
+    ASSERT_TRUE(started) << started.error().message;
+  }
+
+  void PutConfig(uint64_t version, const std::string& service, double timeout_s = 2) {
+    m_store.Put(
+        "config", "main",
+        {{"version", version},
+         {"listeners",
+          {{{"authority", "shop.example"},
+            {"ruleset",
+             {{{"name", "r-lookup"},
+               {"route-kind", "idempotent"},
+               {"goal-s", 0.5},
+               {"priority", 1},
+               {"match", {{"path-prefix", "/parts/"}}},
+               {"action", {{"service", service}, {"timeout-s", timeout_s}, {"attempts", 2}}}},
+              {{"name", "r-order"},
+               {"route-kind", "non_idempotent"},
+               {"goal-s", 0.5},
+               {"priority", 0},
+               {"match", {{"path-prefix", "/orders/"}}},
+               {"action", {{"service", service}, {"timeout-s", timeout_s}, {"attempts", 2}}}}}}}}},
+         {"clusters", {{{"name", service}}}}});
+  }
+
+  // Sends a heartbeat to the machine's node and waits for the acknowledgement.
+  int Report(Machine& machine, const std::string& id, const std::string& state = "ready",
+             int64_t born = 1000) {
+    nlohmann::json body = {{"service", machine.settings.node.service},
+                           {"address", "127.0.0.1:" + std::to_string(machine.server->port())},
+                           {"zone", "braga"},
+                           {"slots", 9},
+                           {"state", state},
+                           {"seq", ++machine.sequence},
+                           {"born", born}};
+    return Ask(machine.settings.listen.control_port, "PUT", "/guavatrail/instances/" + id, "",
+               body.dump())
+        ->status();
+  }
+
+  int Leave(Machine& machine, const std::string& id) {
+    return Ask(machine.settings.listen.control_port, "DELETE", "/guavatrail/instances/" + id)
+        ->status();
+  }
+
+  bool IsReady(Machine& machine) {
+    return Ask(machine.settings.listen.ready_port, "GET", "/guavatrail/readyz")->status() == 200;
+  }
+
+  std::unique_ptr<FakeClient> Send(int64_t port, const std::string& method, const std::string& path,
+                                   const std::string& headers = "", const std::string& body = "") {
+    auto client = std::make_unique<FakeClient>(m_loop, static_cast<uint16_t>(port));
+    std::string length =
+        body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    client->Send(method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\n" + headers + length +
+                 "\r\n" + body);
+    return client;
+  }
+
+  std::unique_ptr<FakeClient> Ask(int64_t port, const std::string& method, const std::string& path,
+                                  const std::string& headers = "", const std::string& body = "") {
+    auto client = Send(port, method, path, headers, body);
+    EXPECT_TRUE(RunUntil(m_loop, [&] { return client->HasWholeAnswer(); }));
+    return client;
+  }
+
+  std::unique_ptr<FakeClient> Call(Machine& entry, const std::string& path, const std::string& id) {
+    return Ask(entry.settings.listen.caller_port, "GET", path, CallHeaders(id));
+  }
+
+  static std::string CallHeaders(const std::string& id) {
+    return "X-Request-Id: " + id + "\r\nX-Deadline-Ms: 2000\r\n";
+  }
+
+  // Calls until the answer has `status`.
+  bool CallUntil(Machine& entry, const std::string& path, int status) {
+    for (int i = 0; i < 200; ++i) {
+      if (Call(entry, path, "until-" + std::to_string(i))->status() == status) return true;
+      RunFor(m_loop, std::chrono::milliseconds(20));
+    }
+    return false;
+  }
+
+  EventLoop m_loop;
+  FakeStore m_store{m_loop};
+  std::vector<std::unique_ptr<Machine>> m_machines;
+};
+
+}  // namespace guavatrail
