--- a/src/admission.cc
+++ b/src/admission.cc
@@ -13,6 +13,7 @@
 // Service times vary around the typical one. With exponential service times at 1.5 times the
 // capacity a margin of 1 lets 4.4% of long requests end late, 1.5 lets 2.2%.
 constexpr double kServiceMargin = 1.5;
+constexpr size_t kMaxKinds = 64;
 
 int64_t ObjectiveOf(const AdmissionRequest& request) {
   bool has_objective = request.objective_us > 0 && request.objective_us < request.deadline_us;
@@ -38,9 +39,9 @@
     Start(request, now_us);
     return Decide(Action::kRun);
   }
-  bool is_late = WouldMiss(ObjectiveOf(request), request.is_short, 0, now_us);
+  bool is_late = WouldMiss(ObjectiveOf(request), request, 0, now_us);
   int64_t limit_us = is_late ? request.deadline_us : ObjectiveOf(request);
-  if (WouldMiss(limit_us, request.is_short, PredictedWaitUs(request, now_us), now_us)) {
+  if (WouldMiss(limit_us, request, PredictedWaitUs(request, now_us), now_us)) {
     return {.action = Action::kRefuse, .retry_after_ms = RetryAfterMs(now_us)};
   }
   AdmissionDecision decision = Decide(Action::kQueue);
@@ -60,7 +61,7 @@
   AdmissionChanges changes;
   auto entry = m_running.find(id);
   if (entry == m_running.end()) return changes;
-  (entry->second.is_short ? m_short_estimate : m_long_estimate).Add(service_us);
+  Measured(entry->second, service_us);
   EndRunning(entry);
   StartQueued(now_us, changes);
   return changes;
@@ -76,9 +77,11 @@
   if (entry == m_running.end()) return changes;
   // The true service time is unknown, but it is at least the elapsed time. Without this a server
   // whose requests all time out would keep a low estimate.
-  ServiceTimeEstimate& estimate = entry->second.is_short ? m_short_estimate : m_long_estimate;
-  int64_t elapsed_us = now_us - entry->second.start_us;
-  if (elapsed_us > estimate.typical_us()) estimate.Add(elapsed_us);
+  const Running& running = entry->second;
+  int64_t elapsed_us = now_us - running.start_us;
+  if (elapsed_us > EstimateOf(running.kind, running.is_short).typical_us()) {
+    Measured(running, elapsed_us);
+  }
   EndRunning(entry);
   StartQueued(now_us, changes);
   return changes;
@@ -87,7 +90,7 @@
 AdmissionChanges SlotAdmission::Expire(int64_t now_us) {
   AdmissionChanges changes;
   for (auto entry = m_queue.begin(); entry != m_queue.end();) {
-    if (WouldMiss(entry->second.deadline_us, entry->second.is_short, 0, now_us)) {
+    if (WouldMiss(entry->second.deadline_us, entry->second, 0, now_us)) {
       changes.refuse.push_back({entry->second.id, 0});
       entry = Dequeue(entry);
     } else {
@@ -107,10 +110,11 @@
 
 int64_t SlotAdmission::PredictedWaitUs(const AdmissionRequest& request, int64_t now_us) const {
   Remaining work = RemainingOfRunning(now_us);
-  Rank rank = RankOf(request, WouldMiss(ObjectiveOf(request), request.is_short, 0, now_us));
+  Rank rank = RankOf(request, WouldMiss(ObjectiveOf(request), request, 0, now_us));
   for (const auto& [other, entry] : m_queue) {
     if (rank < other) break;
-    (entry.is_short ? work.short_us : work.long_us) += EstimateOf(entry.is_short).typical_us();
+    (entry.is_short ? work.short_us : work.long_us) +=
+        EstimateOf(entry.kind, entry.is_short).typical_us();
   }
   int usable = std::max(1, m_options.slots - work.stuck_short - work.stuck_long);
   int64_t shared_us = (work.short_us + work.long_us) / usable;
@@ -125,25 +129,38 @@
 int64_t SlotAdmission::PredictedDrainUs(int64_t now_us) const {
   Remaining work = RemainingOfRunning(now_us);
   for (const auto& [rank, entry] : m_queue) {
-    (entry.is_short ? work.short_us : work.long_us) += EstimateOf(entry.is_short).typical_us();
+    (entry.is_short ? work.short_us : work.long_us) +=
+        EstimateOf(entry.kind, entry.is_short).typical_us();
   }
   int usable = std::max(1, m_options.slots - work.stuck_short - work.stuck_long);
   return std::max((work.short_us + work.long_us) / usable,
                   work.long_us / std::max(1, m_long_limit - work.stuck_long));
 }
 
-const ServiceTimeEstimate& SlotAdmission::EstimateOf(bool is_short) const {
+const ServiceTimeEstimate& SlotAdmission::EstimateOf(std::string_view kind, bool is_short) const {
+  auto it = m_kind_estimates.find(kind);
+  if (it != m_kind_estimates.end() && it->second.settled_us() > 0) return it->second;
   return is_short ? m_short_estimate : m_long_estimate;
 }
 
+void SlotAdmission::Measured(const Running& running, int64_t service_us) {
+  (running.is_short ? m_short_estimate : m_long_estimate).Add(service_us);
+  if (running.kind.empty()) return;
+  // Kinds change with the configuration; those that are gone need no estimate.
+  if (m_kind_estimates.size() >= kMaxKinds && !m_kind_estimates.contains(running.kind)) {
+    m_kind_estimates.clear();
+  }
+  m_kind_estimates[running.kind].Add(service_us);
+}
+
 bool SlotAdmission::HasSlotFor(bool is_short) const {
   if (static_cast<int>(m_running.size()) >= m_options.slots) return false;
   return is_short || m_running_long < m_long_limit;
 }
 
-bool SlotAdmission::WouldMiss(int64_t limit_us, bool is_short, int64_t wait_us,
+bool SlotAdmission::WouldMiss(int64_t limit_us, const AdmissionRequest& request, int64_t wait_us,
                               int64_t now_us) const {
-  auto service_us = static_cast<double>(EstimateOf(is_short).typical_us());
+  auto service_us = static_cast<double>(EstimateOf(request.kind, request.is_short).typical_us());
   return now_us + wait_us + static_cast<int64_t>(kServiceMargin * service_us) > limit_us;
 }
 
@@ -160,7 +177,7 @@
 SlotAdmission::Remaining SlotAdmission::RemainingOfRunning(int64_t now_us) const {
   Remaining remaining;
   for (const auto& [id, running] : m_running) {
-    const ServiceTimeEstimate& estimate = EstimateOf(running.is_short);
+    const ServiceTimeEstimate& estimate = EstimateOf(running.kind, running.is_short);
     int64_t elapsed_us = now_us - running.start_us;
     if (estimate.IsStraggler(elapsed_us)) {
       ++(running.is_short ? remaining.stuck_short : remaining.stuck_long);
@@ -177,7 +194,7 @@
 }
 
 void SlotAdmission::Start(const AdmissionRequest& request, int64_t now_us) {
-  m_running[request.id] = {request.is_short, now_us};
+  m_running[request.id] = {request.is_short, request.kind, now_us};
   if (!request.is_short) ++m_running_long;
 }
 
@@ -209,11 +226,11 @@
   while (entry != m_queue.end() && static_cast<int>(m_running.size()) < m_options.slots) {
     const AdmissionRequest& request = entry->second;
     bool is_late = std::get<0>(entry->first);
-    if (WouldMiss(request.deadline_us, request.is_short, 0, now_us)) {
+    if (WouldMiss(request.deadline_us, request, 0, now_us)) {
       // Running it would take a slot from a request that can still be answered in time.
       changes.refuse.push_back({request.id, 0});
       entry = Dequeue(entry);
-    } else if (!is_late && WouldMiss(ObjectiveOf(request), request.is_short, 0, now_us)) {
+    } else if (!is_late && WouldMiss(ObjectiveOf(request), request, 0, now_us)) {
       Demote(entry);
       entry = m_queue.begin();
     } else if (HasSlotFor(request.is_short)) {
--- a/src/admission.h
+++ b/src/admission.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <string>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <variant>
@@ -23,6 +25,8 @@
   int64_t arrival_us = 0;   // Point in time.
   // Point in time until which an answer is of full use to the caller; 0: the deadline.
   int64_t objective_us = 0;
+  // Requests of one kind take about the same time; empty: not known.
+  std::string kind;
 };
 
 // A request that was not run and never will be.
@@ -89,6 +93,7 @@
   using Rank = std::tuple<bool, int, int64_t, uint64_t>;
   struct Running {
     bool is_short = true;
+    std::string kind;
     int64_t start_us = 0;
   };
   // Work in microseconds, and slots that a straggler holds for an unknown time.
@@ -100,9 +105,12 @@
   };
   using Queue = std::map<Rank, AdmissionRequest>;
 
-  const ServiceTimeEstimate& EstimateOf(bool is_short) const;
+  // The estimate of a kind, or as long as it has too few samples that of all work of its length.
+  const ServiceTimeEstimate& EstimateOf(std::string_view kind, bool is_short) const;
+  void Measured(const Running& running, int64_t service_us);
   bool HasSlotFor(bool is_short) const;
-  bool WouldMiss(int64_t limit_us, bool is_short, int64_t wait_us, int64_t now_us) const;
+  bool WouldMiss(int64_t limit_us, const AdmissionRequest& request, int64_t wait_us,
+                 int64_t now_us) const;
   Rank RankOf(const AdmissionRequest& request, bool is_late) const;
   Remaining RemainingOfRunning(int64_t now_us) const;
   int64_t RetryAfterMs(int64_t now_us) const;
@@ -119,6 +127,7 @@
   uint64_t m_next_sequence = 0;
   ServiceTimeEstimate m_short_estimate;
   ServiceTimeEstimate m_long_estimate;
+  std::map<std::string, ServiceTimeEstimate, std::less<>> m_kind_estimates;
   std::unordered_map<uint64_t, Running> m_running;
   Queue m_queue;
   std::unordered_map<uint64_t, Rank> m_queued_ranks;
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -304,7 +304,8 @@
                                        .is_short = work.is_short,
                                        .deadline_us = call.deadline_us,
                                        .arrival_us = call.downstream->arrival_us(),
-                                       .objective_us = ObjectiveOf(*call.downstream)},
+                                       .objective_us = ObjectiveOf(*call.downstream),
+                                       .kind = work.name},
                                       now_us);
   call.timer.Start(std::chrono::microseconds(std::max<int64_t>(0, call.deadline_us - now_us)));
   Apply({.refuse = decision.evicted});
--- a/test/correctness/admission_serves_objectives_first_test.cc
+++ b/test/correctness/admission_serves_objectives_first_test.cc
@@ -72,6 +72,28 @@
   EXPECT_TRUE(changes.refuse.empty());
 }
 
+// Short checks beside long downloads: with one estimate for both, each check would look too long
+// for its objective and wait behind the downloads.
+TEST_F(AdmissionServesObjectivesFirst, EachKindHasItsOwnServiceTime) {
+  auto request = [](uint64_t id, const std::string& kind, int importance, int64_t objective_ms) {
+    AdmissionRequest made = Request(id, 0, objective_ms, 2500);
+    made.kind = kind;
+    made.importance = importance;
+    return made;
+  };
+  for (uint64_t id = 1; id <= 40; ++id) {
+    bool is_check = id % 2 == 0;
+    m_policy.Arrive(request(id, is_check ? "check" : "download", 1, 2000), 0);
+    m_policy.Finish(id, (is_check ? 30 : 200) * kMs, 0);
+  }
+  m_policy.Arrive(request(100, "check", 2, 120), 0);
+  ASSERT_EQ(m_policy.Arrive(request(101, "download", 1, 400), 0).action,
+            AdmissionDecision::Action::kQueue);
+  ASSERT_EQ(m_policy.Arrive(request(102, "check", 2, 120), 0).action,
+            AdmissionDecision::Action::kQueue);
+  EXPECT_EQ(m_policy.Finish(100, 30 * kMs, 30 * kMs).start, std::vector<uint64_t>{102});
+}
+
 TEST_F(AdmissionServesObjectivesFirst, ARequestPastItsDeadlineIsRefused) {
   Learn();
   m_policy.Arrive(Request(100, 0, 400, 2500), 0);
