Relay the configuration between nodes: one node of a data centre watches the store

Ruled out: watching with stale reads allowed (a tenth of the price), which may be seconds old. The table carries the limits for callers.

--- a/src/config_codec.cc
+++ b/src/config_codec.cc
@@ -179,6 +179,12 @@
   pb::Table out;
   out.set_version(table.version());
   for (const Resource& resource : table.Resources()) *out.add_resources() = ToProto(resource);
+  if (const CallerLimits& limits = table.limits(); limits != CallerLimits()) {
+    out.mutable_limits()->set_max_head_bytes(limits.max_head_bytes);
+    out.mutable_limits()->set_max_body_bytes(limits.max_body_bytes);
+    out.mutable_limits()->set_read_timeout_ms(limits.read_timeout_ms);
+    out.mutable_limits()->set_idle_timeout_ms(limits.idle_timeout_ms);
+  }
   return SerializeCanonical(out);
 }
 
@@ -189,6 +195,9 @@
   if (!resources) return tl::make_unexpected(resources.error());
   auto table = ConfigTable::FromResources(message.version(), *resources);
   if (!table) return Fail(table.error().message);
+  const pb::CallerLimits& limits = message.limits();
+  table->SetLimits({limits.max_head_bytes(), limits.max_body_bytes(), limits.read_timeout_ms(),
+                    limits.idle_timeout_ms()});
   if (EncodeTable(*table) != bytes) return Fail("table is not in canonical form");
   return std::move(*table);
 }
--- /dev/null
+++ b/src/config_relay.cc
@@ -0,0 +1,181 @@
+#include "config_relay.h"
+
+#include <glog/logging.h>
+
+#include <charconv>
+
+#include "config_codec.h"
+
+namespace guavatrail {
+
+namespace {
+
+constexpr char kVersionHeader[] = "X-Guavatrail-Config-Version";
+// Time since the platform confirmed the configuration, in ms.
+constexpr char kAgeHeader[] = "X-Guavatrail-Config-Age-Ms";
+constexpr int kHttpNotModified = 304;
+// A question waits at the source for a change for this time; a source that says nothing for that
+// and the margin is taken as gone.
+constexpr std::chrono::milliseconds kWait{500};
+constexpr std::chrono::milliseconds kMargin{250};
+// How often a node that follows the platform looks whether it should.
+constexpr std::chrono::milliseconds kRoleCheck{1'000};
+// Between two questions that got no new table.
+constexpr std::chrono::milliseconds kPause{5};
+constexpr size_t kMaxTableBytes = 8'388'608;
+constexpr int64_t kUsPerMs = 1'000;
+
+std::string Describe(const ConfigSource& source) {
+  if (const auto* node = std::get_if<FromNode>(&source)) return node->node;
+  return "platform";
+}
+
+}  // namespace
+
+ConfigRelay::ConfigRelay(EventLoop& loop, Candidate self, std::string local_ip, Metrics& metrics,
+                         Hooks hooks)
+    : m_loop(loop),
+      m_hooks(std::move(hooks)),
+      m_policy(std::move(self), {}),
+      m_peers(loop, std::move(local_ip)),
+      m_endpoints(std::make_shared<const EndpointList>()),
+      m_replies(loop),
+      m_questions(metrics.GetCounter("config_questions_total")),
+      m_failures(metrics.GetCounter("config_question_failures_total")),
+      m_timer(loop, [this] { Step(); }),
+      m_deferred(loop) {}
+
+void ConfigRelay::Start() {
+  m_is_running = true;
+  m_hooks.watch_platform(true);
+  m_timer.Start(kRoleCheck);
+}
+
+void ConfigRelay::Stop() {
+  m_is_running = false;
+  m_timer.Cancel();
+  m_query.reset();
+}
+
+void ConfigRelay::SetEndpoints(std::shared_ptr<const EndpointList> endpoints) {
+  if (endpoints == m_endpoints) return;
+  m_endpoints = std::move(endpoints);
+  std::vector<Candidate> candidates;
+  for (const Endpoint& endpoint : m_endpoints->all()) {
+    // The node beside a server that leaves is about to go.
+    if (!endpoint.draining) candidates.push_back({endpoint.node, endpoint.data_centre});
+  }
+  m_policy.SetCandidates(candidates);
+}
+
+void ConfigRelay::SetTable(std::shared_ptr<const ConfigTable> table) {
+  m_table = std::move(table);
+  m_encoded.clear();
+  AnswerWaiting();
+}
+
+void ConfigRelay::Confirm() { m_confirmed_us = EventLoop::NowUs(); }
+
+void ConfigRelay::Step() {
+  if (!m_is_running || m_query != nullptr) return;
+  ConfigSource source = version() == 0 ? FromPlatform{} : m_policy.SourceAt(EventLoop::NowUs());
+  if (source != m_source) {
+    LOG(INFO) << "event=config_source source=" << Describe(source)
+              << " before=" << Describe(m_source) << " version=" << version()
+              << " age_ms=" << (EventLoop::NowUs() - m_confirmed_us) / kUsPerMs;
+    m_source = source;
+    m_hooks.watch_platform(std::holds_alternative<FromPlatform>(source));
+  }
+  if (const auto* node = std::get_if<FromNode>(&m_source)) {
+    Ask(node->node);
+  } else {
+    m_timer.Start(kRoleCheck);
+  }
+}
+
+void ConfigRelay::Ask(const std::string& node) {
+  const Endpoint* endpoint = m_endpoints->FindNode(node);
+  if (endpoint == nullptr) {
+    m_policy.Failed(node, EventLoop::NowUs());
+    m_timer.Start(kPause);
+    return;
+  }
+  m_questions.Add();
+  UpstreamRequest request{.method = EVHTTP_REQ_GET, .uri = kConfigPath};
+  request.headers = {{kVersionHeader, std::to_string(version())}};
+  m_query = std::make_unique<HttpQuery>(
+      m_loop, m_peers.PoolOf(*endpoint), std::move(request), kWait + kMargin,
+      [this, node](const std::optional<HttpReply>& reply) { OnReply(node, reply); },
+      kMaxTableBytes);
+}
+
+void ConfigRelay::OnReply(const std::string& node, const std::optional<HttpReply>& reply) {
+  // The query is in its own callback.
+  m_deferred.Post([this] { m_query.reset(); });
+  int64_t now_us = EventLoop::NowUs();
+  m_timer.Start(kPause);
+  bool is_answer = reply && (reply->status == kHttpOk || reply->status == kHttpNotModified) &&
+                   FindHeader(reply->headers, kAgeHeader) != nullptr;
+  if (!is_answer) {
+    m_failures.Add();
+    LOG(WARNING) << "event=config_source_failed source=" << node
+                 << " status=" << (reply ? reply->status : 0);
+    m_policy.Failed(node, now_us);
+    return;
+  }
+  int64_t age_us = NumberIn(reply->headers, kAgeHeader) * kUsPerMs;
+  m_policy.Answered(node, age_us, now_us);
+  m_confirmed_us = std::max(m_confirmed_us, now_us - age_us);
+  if (reply->status != kHttpOk) return;
+  auto table = DecodeTable(reply->body);
+  if (!table) {
+    m_failures.Add();
+    LOG(ERROR) << "event=config_from_node_refused source=" << node << " error=\""
+               << table.error().message << "\"";
+    m_policy.Failed(node, now_us);
+    return;
+  }
+  if (table->version() > version()) {
+    m_hooks.adopt(std::make_shared<const ConfigTable>(std::move(*table)));
+  }
+}
+
+void ConfigRelay::Answer(std::unique_ptr<DownstreamRequest> request) {
+  auto known = static_cast<uint64_t>(NumberIn(request->headers(), kVersionHeader));
+  if (version() != known) {
+    AnswerNow(std::move(request), known);
+    return;
+  }
+  m_waiting.emplace_back();
+  auto entry = std::prev(m_waiting.end());
+  request->SetEndHandler(
+      [this, entry](bool) { m_deferred.Post([this, entry] { m_waiting.erase(entry); }); });
+  entry->request = std::move(request);
+  entry->timer = std::make_unique<Timer>(m_loop, [this, entry, known] {
+    if (entry->request == nullptr) return;
+    entry->request->SetEndHandler(nullptr);
+    AnswerNow(std::move(entry->request), known);
+    m_deferred.Post([this, entry] { m_waiting.erase(entry); });
+  });
+  entry->timer->Start(kWait);
+}
+
+void ConfigRelay::AnswerWaiting() {
+  for (auto& waiting : m_waiting) {
+    if (waiting.request != nullptr) waiting.timer->Start(std::chrono::microseconds(0));
+  }
+}
+
+void ConfigRelay::AnswerNow(std::unique_ptr<DownstreamRequest> request, uint64_t known) {
+  int64_t age_ms = (EventLoop::NowUs() - m_confirmed_us) / kUsPerMs;
+  HeaderList headers = {{kVersionHeader, std::to_string(version())},
+                        {kAgeHeader, std::to_string(std::max<int64_t>(0, age_ms))}};
+  if (version() <= known) {
+    m_replies.Reply(std::move(request), kHttpNotModified, headers);
+    return;
+  }
+  if (m_encoded.empty()) m_encoded = EncodeTable(*m_table);
+  m_replies.Reply(std::move(request), kHttpOk, headers, m_encoded);
+}
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/config_relay.h
@@ -0,0 +1,77 @@
+// Defines ConfigRelay, which passes the configuration on between nodes.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "config_source.h"
+#include "config_table.h"
+#include "downstream_request.h"
+#include "endpoint.h"
+#include "event_loop.h"
+#include "http_query.h"
+#include "metrics.h"
+#include "peer_client.h"
+
+namespace guavatrail {
+
+// A follower asks its source for anything newer than what it has; the source answers when it has
+// it, or after a short wait, and says how long ago the platform confirmed what it has.
+class ConfigRelay {
+ public:
+  struct Hooks {
+    // A newer table came from another node.
+    std::function<void(std::shared_ptr<const ConfigTable>)> adopt;
+    // Whether this node should follow the platform itself.
+    std::function<void(bool)> watch_platform;
+  };
+
+  ConfigRelay(EventLoop& loop, Candidate self, std::string local_ip, Metrics& metrics, Hooks hooks);
+
+  // Commands.
+  void Start();
+  void Stop();
+  void SetEndpoints(std::shared_ptr<const EndpointList> endpoints);
+  // The table in force, from whatever source.
+  void SetTable(std::shared_ptr<const ConfigTable> table);
+  // The platform has confirmed the table in force just now.
+  void Confirm();
+  // Answers a question of another node.
+  void Answer(std::unique_ptr<DownstreamRequest> request);
+
+ private:
+  struct Waiting {
+    std::unique_ptr<DownstreamRequest> request;
+    std::unique_ptr<Timer> timer;
+  };
+
+  void Step();
+  void Ask(const std::string& node);
+  void OnReply(const std::string& node, const std::optional<HttpReply>& reply);
+  void AnswerNow(std::unique_ptr<DownstreamRequest> request, uint64_t known);
+  void AnswerWaiting();
+  uint64_t version() const { return m_table == nullptr ? 0 : m_table->version(); }
+
+  EventLoop& m_loop;
+  Hooks m_hooks;
+  ConfigSourcePolicy m_policy;
+  PeerClient m_peers;
+  std::shared_ptr<const EndpointList> m_endpoints;
+  std::shared_ptr<const ConfigTable> m_table;
+  std::string m_encoded;  // Of m_table; empty until somebody asks.
+  int64_t m_confirmed_us = 0;
+  bool m_is_running = false;
+  ConfigSource m_source = FromPlatform{};
+  std::unique_ptr<HttpQuery> m_query;
+  std::list<Waiting> m_waiting;
+  PendingReplies m_replies;
+  Counter& m_questions;
+  Counter& m_failures;
+  Timer m_timer;
+  DeferredQueue m_deferred;
+};
+
+}  // namespace guavatrail
--- a/src/config_table.h
+++ b/src/config_table.h
@@ -65,6 +65,15 @@
   bool operator==(const Route&) const = default;
 };
 
+// What callers may send, and how long they may take. 0: the node's own limit.
+struct CallerLimits {
+  int64_t max_head_bytes = 0;
+  int64_t max_body_bytes = 0;
+  int64_t read_timeout_ms = 0;
+  int64_t idle_timeout_ms = 0;
+  bool operator==(const CallerLimits&) const = default;
+};
+
 using Resource = std::variant<Service, WorkKind, Route>;
 
 enum class ResourceType { kService, kWorkKind, kRoute };
@@ -140,6 +149,9 @@
   const std::map<std::string, WorkKind, std::less<>>& work_kinds() const { return m_work_kinds; }
   const std::map<std::string, Route, std::less<>>& routes() const { return m_routes; }
 
+  const CallerLimits& limits() const { return m_limits; }
+  void SetLimits(const CallerLimits& limits) { m_limits = limits; }
+
   // Null when absent.
   const Service* FindService(std::string_view name) const;
   const WorkKind* FindWorkKind(std::string_view name) const;
@@ -174,6 +186,7 @@
   void EraseRoute(const std::string& name);
 
   uint64_t m_version = 0;
+  CallerLimits m_limits;
   std::map<std::string, Service, std::less<>> m_services;
   std::map<std::string, WorkKind, std::less<>> m_work_kinds;
   std::map<std::string, Route, std::less<>> m_routes;
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -98,6 +98,19 @@
   idle();
 }
 
+void EntryProxy::SetLimits(const CallerLimits& limits) {
+  HttpLimits http;
+  if (limits.max_head_bytes > 0) http.max_head_bytes = static_cast<size_t>(limits.max_head_bytes);
+  if (limits.max_body_bytes > 0) http.max_body_bytes = static_cast<size_t>(limits.max_body_bytes);
+  if (limits.read_timeout_ms > 0) {
+    http.read_timeout = std::chrono::milliseconds(limits.read_timeout_ms);
+  }
+  if (limits.idle_timeout_ms > 0) {
+    http.idle_timeout = std::chrono::milliseconds(limits.idle_timeout_ms);
+  }
+  m_listener.SetLimits(http);
+}
+
 void EntryProxy::HideNodeHeaders(HeaderList& headers) const {
   if (!m_protocol.shows_node_headers) RemoveNodeHeaders(headers);
 }
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -56,7 +56,7 @@
 
   // Goes on with all requests, and closes each connection behind its next answer.
   void CloseAfterAnswers() { m_listener.CloseAfterAnswers(); }
-  void SetLimits(const HttpLimits& limits) { m_listener.SetLimits(limits); }
+  void SetLimits(const CallerLimits& limits);
 
   uint16_t port() const { return m_listener.port(); }
   size_t calls() const { return m_calls.size(); }
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -37,6 +37,8 @@
 inline constexpr std::string_view kOwnPathPrefix = "/guavatrail/";
 inline constexpr char kOrderKeyPath[] = "/guavatrail/v1/order-key";
 inline constexpr char kFencePath[] = "/guavatrail/v1/fence";
+// The configuration in force; see config_relay.h.
+inline constexpr char kConfigPath[] = "/guavatrail/v1/config";
 inline constexpr std::string_view kProbePathPrefix = "/guavatrail/v1/request/";
 
 inline constexpr char kOutcomeAnswered[] = "answered";
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -51,6 +51,8 @@
   void OpenGate(const std::string& server_id, int slots);
   // Refuses new work as not run. What is queued still runs for `queue_time`, what runs goes on.
   void CloseGate(std::string_view reason, std::chrono::milliseconds queue_time);
+  // Takes the questions of other nodes for the configuration.
+  void SetConfigHandler(HttpListener::Handler handler) { m_config_handler = std::move(handler); }
   void SetServerObserver(ServerObserver observer) { m_observer = std::move(observer); }
 
   uint16_t port() const { return m_listener.port(); }
@@ -106,6 +108,7 @@
   EventLoop& m_loop;
   OuterProtocol m_protocol;
   ServerObserver m_observer;
+  HttpListener::Handler m_config_handler;
   Gate m_gate;
   std::string m_name;
   std::string m_service;
