Offer a request to nodes with a free slot before it waits at one; refuse on half of its time

Pattern: load reports that are late, since 58 entry nodes each see few answers of a server. Change: an entry node offers a request to two nodes, each of which runs it at once or tells the wait; then it waits where the wait is least. A request is refused when it would miss both its objective and half of its time: a refused internal call fails the request that made it.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -20,6 +20,13 @@
   return has_objective ? request.objective_us : request.deadline_us;
 }
 
+// A request that is a little late is of more use than one that is refused, as long as it leaves
+// half of its time for the way back and for errors of the prediction.
+int64_t AdmissionLimitOf(const AdmissionRequest& request, int64_t now_us) {
+  if (request.objective_us == 0) return request.deadline_us;
+  return std::max(ObjectiveOf(request), now_us + (request.deadline_us - now_us) / 2);
+}
+
 AdmissionDecision Decide(AdmissionDecision::Action action) { return {.action = action}; }
 
 }  // namespace
@@ -39,9 +46,15 @@
     Start(request, now_us);
     return Decide(Action::kRun);
   }
+  int64_t wait_us = PredictedWaitUs(request, now_us);
+  if (request.is_offer) {
+    return {.action = Action::kRefuse,
+            .retry_after_ms = RetryAfterMs(now_us),
+            .wait_ms = wait_us / kUsPerMs + 1};
+  }
   bool is_late = WouldMiss(ObjectiveOf(request), request, 0, now_us);
-  int64_t limit_us = is_late ? request.deadline_us : ObjectiveOf(request);
-  if (WouldMiss(limit_us, request, PredictedWaitUs(request, now_us), now_us)) {
+  int64_t limit_us = is_late ? request.deadline_us : AdmissionLimitOf(request, now_us);
+  if (WouldMiss(limit_us, request, wait_us, now_us)) {
     return {.action = Action::kRefuse, .retry_after_ms = RetryAfterMs(now_us)};
   }
   AdmissionDecision decision = Decide(Action::kQueue);
--- a/src/admission.h
+++ b/src/admission.h
@@ -27,6 +27,8 @@
   int64_t objective_us = 0;
   // Requests of one kind take about the same time; empty: not known.
   std::string kind;
+  // Runs at once or is refused.
+  bool is_offer = false;
 };
 
 // A request that was not run and never will be.
@@ -41,6 +43,8 @@
   enum class Action { kRun, kQueue, kRefuse };
   Action action = Action::kRun;
   int64_t retry_after_ms = 0;  // With kRefuse only.
+  // With a refused offer: the predicted wait.
+  int64_t wait_ms = 0;
   // Other requests that leave the queue to make room for this one.
   std::vector<AdmissionRefusal> evicted;
 };
@@ -62,9 +66,9 @@
 
 // A fixed number of slots, some of which long work may not use, and a bounded queue ordered by
 // importance, then earliest objective. Answers that a burst of requests has to wait for in turn
-// would all be late; so a request is refused at once when it would miss its objective, and one that
-// has missed it in the queue, or came after it, waits behind all that can still be in time, as long
-// as it can meet its deadline.
+// would all be late; so a request is refused at once when it would miss both its objective and half
+// of its time, and one that has missed its objective in the queue, or came after it, waits behind
+// all that can still be in time, as long as it can meet its deadline.
 class SlotAdmission {
  public:
   struct Options {
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "downstream_request.h"
 #include "event_loop.h"
@@ -21,7 +22,9 @@
 namespace guavatrail {
 
 // Most serving nodes that one call is sent to.
-inline constexpr int kMaxTries = 4;
+inline constexpr int kMaxTries = 6;
+// Serving nodes that are asked for a free slot before the request waits at one of them.
+inline constexpr int kOffers = 2;
 inline constexpr int64_t kUsualRetryAfterMs = 100;
 
 // One try of a call on one serving node.
@@ -52,6 +55,9 @@
   std::optional<OrderKey> key;
   std::set<std::string> tried;
   int tries_started = 0;
+  int offers_made = 0;
+  // Nodes without a free slot, and how long the request would wait there.
+  std::vector<std::pair<int64_t, std::string>> busy;
   int attempts = kMaxTries;  // Most servers that may get the request.
   int servers_reached = 0;   // Servers that got it, or may have.
   int64_t objective_ms = 0;  // 0: none but the deadline.
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -208,18 +208,38 @@
 // Places the call on a server that it has not been tried on.
 void EntryProxy::StartNext(EntryCall& call) {
   bool is_repeatable = call.work.mode == RunMode::kRepeatable;
-  const Endpoint* server = m_picker.Pick(call.service, call.tried,
-                                         is_repeatable && call.tried.empty(), EventLoop::NowUs());
-  if (StartTry(call, server)) {
+  bool is_offer = call.offers_made < kOffers;
+  const Endpoint* server = nullptr;
+  if (is_offer || call.busy.empty()) {
+    server = m_picker.Pick(call.service, call.tried, is_repeatable && call.tried.empty(),
+                           EventLoop::NowUs());
+  }
+  if (server == nullptr) {
+    server = LeastBusy(call);
+    is_offer = false;
+  }
+  if (StartTry(call, server, is_offer)) {
     PlanHedge(call);
   } else {
     AnswerFailed(call, kHttpBadGateway);
   }
 }
 
-bool EntryProxy::StartTry(EntryCall& call, const Endpoint* server) {
+// The node at which the request would wait least, of those that had no free slot.
+const Endpoint* EntryProxy::LeastBusy(EntryCall& call) const {
+  while (!call.busy.empty()) {
+    auto least = std::min_element(call.busy.begin(), call.busy.end());
+    const Endpoint* server = m_picker.endpoints().FindNode(least->second);
+    call.busy.erase(least);
+    if (server != nullptr && server->service == call.service) return server;
+  }
+  return nullptr;
+}
+
+bool EntryProxy::StartTry(EntryCall& call, const Endpoint* server, bool is_offer) {
   if (server == nullptr) return false;
   ++call.tries_started;
+  if (is_offer) ++call.offers_made;
   call.tried.insert(server->node);
   auto owned = std::make_unique<EntryTry>();
   EntryTry& t = *owned;
@@ -229,7 +249,7 @@
   call.tries.push_back(std::move(owned));
   m_picker.Sent(t.node, t.start_us);
   std::string try_id = call.request_id + "." + std::to_string(call.tries_started);
-  UpstreamRequest request = RequestFor(call, *server);
+  UpstreamRequest request = RequestFor(call, *server, is_offer);
   SetHeader(request.headers, kRequestIdHeader, try_id);
   t.peer = std::make_unique<PeerCall>(
       m_loop, m_peers.PoolOf(*server), std::move(request), try_id,
@@ -250,12 +270,14 @@
   return call.downstream->arrival_us() + call.objective_ms * kUsPerMs;
 }
 
-UpstreamRequest EntryProxy::RequestFor(const EntryCall& call, const Endpoint& server) const {
+UpstreamRequest EntryProxy::RequestFor(const EntryCall& call, const Endpoint& server,
+                                       bool is_offer) const {
   HeaderList headers = call.downstream->headers();
   RemoveNodeHeaders(headers);
   SetHeader(headers, kDeadlineHeader, FormatDeadlineMs(call.deadline_us, EventLoop::NowUs()));
   SetHeader(headers, kWorkHeader, FormatWorkTag(call.work));
   SetHeader(headers, kServiceHeader, call.service);
+  if (is_offer) SetHeader(headers, kOfferHeader, "1");
   if (call.objective_ms > 0) {
     SetHeader(headers, kObjectiveHeader, FormatDeadlineMs(ObjectiveUsOf(call), EventLoop::NowUs()));
   }
@@ -284,7 +306,7 @@
   const Endpoint* server = m_picker.Pick(call.service, call.tried, false, now_us);
   if (server == nullptr || !m_picker.TakeHedge(call.service, now_us)) return;
   m_metrics.GetCounter("hedges_total", "kind=\"" + call.work.name + "\"").Add();
-  StartTry(call, server);
+  StartTry(call, server, false);
 }
 
 void EntryProxy::OnHead(EntryCall& call, EntryTry& t, const AnswerHead& head) {
@@ -296,6 +318,8 @@
     if (retry_after_ms > 0) call.retry_after_ms = retry_after_ms;
     call.status = head.status;
     t.reached_server = HasReachedServer(head);
+    int64_t wait_ms = NumberIn(head.headers, kWaitMsHeader);
+    if (wait_ms > 0) call.busy.emplace_back(wait_ms, t.node);
     // A node that is not draining may issue another key.
     const std::string* reason = FindHeader(head.headers, kReasonHeader);
     bool is_draining = reason != nullptr && *reason == kReasonDraining;
@@ -336,7 +360,7 @@
   t.is_refused = true;
   call.may_have_run = true;
   m_metrics.GetCounter("retries_total", "kind=\"" + call.work.name + "\"").Add();
-  return StartTry(call, server);
+  return StartTry(call, server, false);
 }
 
 void EntryProxy::EndTry(EntryCall& call, EntryTry& t) {
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -72,11 +72,12 @@
   void OnDeadline(EntryCall& call);
 
   // Tries on serving nodes.
-  bool StartTry(EntryCall& call, const Endpoint* server);
+  bool StartTry(EntryCall& call, const Endpoint* server, bool is_offer);
+  const Endpoint* LeastBusy(EntryCall& call) const;
   void StartNext(EntryCall& call);
   void Hedge(EntryCall& call);
   void PlanHedge(EntryCall& call);
-  UpstreamRequest RequestFor(const EntryCall& call, const Endpoint& server) const;
+  UpstreamRequest RequestFor(const EntryCall& call, const Endpoint& server, bool is_offer) const;
   void OnHead(EntryCall& call, EntryTry& t, const AnswerHead& head);
   bool IsShed(const EntryCall& call, const AnswerHead& head) const;
   bool MoveElsewhere(EntryCall& call, EntryTry& t);
--- a/src/entry_proxy_orders.cc
+++ b/src/entry_proxy_orders.cc
@@ -26,7 +26,7 @@
     // The key belongs to an order of another service.
     FetchKey(call);
   } else {
-    StartTry(call, server);
+    StartTry(call, server, false);
   }
 }
 
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -18,6 +18,11 @@
 inline constexpr char kObjectiveHeader[] = "X-Guavatrail-Objective-Ms";
 // The service that the entry node means; an address may have passed to a node of another one.
 inline constexpr char kServiceHeader[] = "X-Guavatrail-Service";
+// Present on a request that is to run at once or not at all: the entry node will look for a server
+// with a free slot before it lets the request wait.
+inline constexpr char kOfferHeader[] = "X-Guavatrail-Offer";
+// On a refused offer: how long the request would have to wait.
+inline constexpr char kWaitMsHeader[] = "X-Guavatrail-Wait-Ms";
 inline constexpr char kIncarnationHeader[] = "X-Guavatrail-Incarnation";
 inline constexpr char kLoadHeader[] = "X-Guavatrail-Load";
 inline constexpr char kOutcomeHeader[] = "X-Guavatrail-Outcome";
@@ -51,6 +56,8 @@
 inline constexpr char kReasonOverload[] = "overload";
 inline constexpr char kReasonFenced[] = "fenced";
 inline constexpr char kReasonUnreachable[] = "unreachable";
+// No slot is free for an offer.
+inline constexpr char kReasonBusy[] = "busy";
 // The backend server itself turned the request away.
 inline constexpr char kReasonServerFull[] = "server_full";
 inline constexpr char kReasonWrongServer[] = "wrong_server";
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -84,6 +84,7 @@
   uint64_t id = 0;
   uint64_t serial = 0;  // Of keyed orders; 0 otherwise.
   std::string request_id;
+  int64_t wait_ms = 0;    // Predicted when an offer was refused.
   std::string server_id;  // That the request was sent to.
   WorkTag work;
   Phase phase = Phase::kQueued;
@@ -300,6 +301,7 @@
   if (serial != 0) m_by_serial[serial] = &call;
   call.downstream->SetEndHandler([this, &call](bool written) { OnDownstreamEnd(call, written); });
   int64_t now_us = EventLoop::NowUs();
+  bool is_offer = FindHeader(call.downstream->headers(), kOfferHeader) != nullptr;
   AdmissionDecision decision = Arrive(m_admission,
                                       {.id = id,
                                        .importance = work.importance,
@@ -307,14 +309,16 @@
                                        .deadline_us = call.deadline_us,
                                        .arrival_us = call.downstream->arrival_us(),
                                        .objective_us = ObjectiveOf(*call.downstream),
-                                       .kind = work.name},
+                                       .kind = work.name,
+                                       .is_offer = is_offer},
                                       now_us);
   call.timer.Start(std::chrono::microseconds(std::max<int64_t>(0, call.deadline_us - now_us)));
   Apply({.refuse = decision.evicted});
   if (decision.action == AdmissionDecision::Action::kRun) Run(call);
   if (decision.action == AdmissionDecision::Action::kQueue) WatchQueue();
   if (decision.action == AdmissionDecision::Action::kRefuse) {
-    Refuse(call, decision.retry_after_ms, kReasonOverload);
+    call.wait_ms = decision.wait_ms;
+    Refuse(call, decision.retry_after_ms, is_offer ? kReasonBusy : kReasonOverload);
   }
   ReportLoad();
 }
@@ -350,6 +354,7 @@
   if (!call.is_attached()) return;
   HeaderList headers = NodeHeaders(kOutcomeNotRun, call.request_id);
   SetHeader(headers, kReasonHeader, reason);
+  if (call.wait_ms > 0) SetHeader(headers, kWaitMsHeader, std::to_string(call.wait_ms));
   SetRetryAfter(headers, retry_after_ms);
   call.downstream->Reply(kHttpServiceUnavailable, headers, "");
 }
