--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -49,7 +49,9 @@
   std::string request_id;
   std::string service;
   std::string route;
-  std::string last_node;  // That the call was sent to.
+  std::string last_node;        // That the call was sent to.
+  std::string last_reason;      // Why the last try did not succeed; empty when it did.
+  uint64_t config_version = 0;  // In force when the call came.
   WorkTag work;
   int64_t deadline_us = 0;
   std::optional<OrderKey> key;
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -168,11 +168,11 @@
     deadline_ms = std::min(deadline_ms, *remaining);
   }
   int64_t deadline_us = request->arrival_us() + deadline_ms * kUsPerMs;
-  Begin(std::move(request), *route, *kind, deadline_us);
+  Begin(std::move(request), *route, *kind, table->version(), deadline_us);
 }
 
 void EntryProxy::Begin(std::unique_ptr<DownstreamRequest> request, const Route& route,
-                       const WorkKind& kind, int64_t deadline_us) {
+                       const WorkKind& kind, uint64_t version, int64_t deadline_us) {
   uint64_t id = m_next_id++;
   RunMode mode = ModeOf(kind, request->method());
   auto owned = std::make_unique<EntryCall>(
@@ -184,6 +184,7 @@
   call.request_id = m_id_prefix + std::to_string(id);
   call.service = m_shares.Choose(route, m_random);
   call.route = route.name;
+  call.config_version = version;
   call.attempts = kind.attempts;
   call.objective_ms = kind.objective_ms;
   call.work = {kind.name, kind.importance, kind.is_short, mode};
@@ -318,6 +319,8 @@
     if (retry_after_ms > 0) call.retry_after_ms = retry_after_ms;
     call.status = head.status;
     t.reached_server = HasReachedServer(head);
+    const std::string* why = FindHeader(head.headers, kReasonHeader);
+    call.last_reason = why == nullptr ? "refused" : *why;
     int64_t wait_ms = NumberIn(head.headers, kWaitMsHeader);
     if (wait_ms > 0) call.busy.emplace_back(wait_ms, t.node);
     // A node that is not draining may issue another key.
@@ -328,6 +331,7 @@
   }
   if (IsShed(call, head) && MoveElsewhere(call, t)) return;
   call.is_answered = true;
+  call.last_reason.clear();
   call.status = head.status;
   call.is_late = now_us > call.deadline_us;
   call.deadline_timer.Cancel();
@@ -385,6 +389,11 @@
 
 void EntryProxy::OnDone(EntryCall& call, EntryTry& t, ExchangeEnd end) {
   bool was_relayed = !t.is_refused && call.relay.has_begun();
+  if (!t.is_refused && end != ExchangeEnd::kComplete) {
+    call.last_reason = t.peer->was_silent()           ? "silent"
+                       : end == ExchangeEnd::kNotSent ? "not_sent"
+                                                      : "broken";
+  }
   if (t.peer->was_silent()) m_metrics.GetCounter("silent_connections_total").Add();
   EndTry(call, t);
   if (end != ExchangeEnd::kComplete) m_picker.Failed(call.service, t.node, EventLoop::NowUs());
@@ -446,6 +455,7 @@
 // The serving node has not answered in time, so it is hung or cannot be reached.
 void EntryProxy::OnDeadline(EntryCall& call) {
   if (call.is_answered) return;
+  call.last_reason = "deadline";
   bool was_sent = !call.tries.empty();
   EndOtherTries(call, nullptr);
   if (call.work.mode == RunMode::kKeyed && was_sent) {
@@ -512,13 +522,20 @@
             << " route=" << call.route << " service=" << call.service
             << " outcome=" << ToString(outcome) << " status=" << call.status
             << " tries=" << call.tries_started << " reached=" << call.servers_reached
-            << " last_node=" << call.last_node << " may_have_run=" << call.may_have_run
+            << " last_node=" << call.last_node
+            << " reason=" << (call.last_reason.empty() ? "none" : call.last_reason)
+            << " may_have_run=" << call.may_have_run << " config_version=" << call.config_version
+            << " endpoints=" << m_picker.endpoints().OfService(call.service).size()
             << " ms=" << (EventLoop::NowUs() - call.downstream->arrival_us()) / kUsPerMs;
 }
 
 void EntryProxy::OnDownstreamEnd(EntryCall& call, bool written) {
   // A caller that has left cancels the work; a keyed order runs on at its serving node.
-  if (!written) call.is_observed = true;
+  if (!written && !call.is_observed) {
+    call.last_reason = "caller_left";
+    LogCall(call, CallOutcome::kIncomplete);
+    call.is_observed = true;
+  }
   call.is_answered = true;
   EndOtherTries(call, nullptr);
   Remove(call);
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -67,7 +67,7 @@
   void RefuseAtOnce(std::unique_ptr<DownstreamRequest> request, int status,
                     std::string_view reason);
   void Begin(std::unique_ptr<DownstreamRequest> request, const Route& route, const WorkKind& kind,
-             int64_t deadline_us);
+             uint64_t version, int64_t deadline_us);
   void OnDownstreamEnd(EntryCall& call, bool written);
   void OnDeadline(EntryCall& call);
 
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -84,8 +84,9 @@
   uint64_t id = 0;
   uint64_t serial = 0;  // Of keyed orders; 0 otherwise.
   std::string request_id;
-  int64_t wait_ms = 0;    // Predicted when an offer was refused.
-  std::string server_id;  // That the request was sent to.
+  int64_t retry_after_ms = 0;  // Of a refusal.
+  int64_t wait_ms = 0;         // Predicted when an offer was refused.
+  std::string server_id;       // That the request was sent to.
   WorkTag work;
   Phase phase = Phase::kQueued;
   int64_t deadline_us = 0;
@@ -349,7 +350,25 @@
   RemoveIfEnded(call);
 }
 
+void ServingProxy::LogEnd(const Call& call, std::string_view outcome,
+                          std::string_view reason) const {
+  AdmissionLoad load = LoadOf(m_admission);
+  int64_t now_us = EventLoop::NowUs();
+  int64_t arrival_us = call.downstream->arrival_us();
+  int64_t start_us = call.start_us == 0 ? now_us : call.start_us;
+  const std::string* id = FindHeader(call.downstream->headers(), m_protocol.request_id_header);
+  LOG(INFO) << "event=served id=" << (id == nullptr ? "" : *id) << " try_id=" << call.request_id
+            << " kind=" << call.work.name << " outcome=" << outcome << " reason=" << reason
+            << " server=" << call.server_id << " queue_ms=" << (start_us - arrival_us) / kUsPerMs
+            << " server_ms=" << (now_us - start_us) / kUsPerMs
+            << " left_ms=" << (call.deadline_us - now_us) / kUsPerMs
+            << " in_service=" << load.in_service << " queued=" << load.queued
+            << " retry_after_ms=" << call.retry_after_ms;
+}
+
 void ServingProxy::AnswerNotRun(Call& call, std::string_view reason, int64_t retry_after_ms) {
+  call.retry_after_ms = retry_after_ms;
+  LogEnd(call, kOutcomeNotRun, reason);
   m_metrics.GetCounter("serving_refused_total", "reason=\"" + std::string(reason) + "\"").Add();
   if (!call.is_attached()) return;
   HeaderList headers = NodeHeaders(kOutcomeNotRun, call.request_id);
@@ -360,6 +379,7 @@
 }
 
 void ServingProxy::AnswerUnknown(Call& call, int status) {
+  LogEnd(call, kOutcomeUnknown, status == kHttpGatewayTimeout ? "deadline" : "broken");
   if (!call.is_attached()) return;
   call.downstream->Reply(status, NodeHeaders(kOutcomeUnknown, call.request_id), "");
 }
@@ -488,6 +508,7 @@
   int64_t now_us = EventLoop::NowUs();
   if (call.is_keyed()) FinishOrder(call, end);
   if (call.relay.has_begun()) {
+    LogEnd(call, kOutcomeAnswered, end == ExchangeEnd::kComplete ? "none" : "broken");
     if (call.is_attached()) call.relay.End(end);
   } else if (!call.may_have_left) {
     AnswerNotRun(call, kReasonUnreachable, kDrainRetryAfterMs);
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -93,6 +93,7 @@
   void AnswerUnknown(Call& call, int status);
   void GiveUp(Call& call);
   void RemoveIfEnded(Call& call);
+  void LogEnd(const Call& call, std::string_view outcome, std::string_view reason) const;
   void WatchQueue();
   void CheckIdle();
   void ReportLoad();
