--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -142,26 +142,32 @@
 
 void ConfigRelay::Answer(std::unique_ptr<DownstreamRequest> request) {
   auto known = static_cast<uint64_t>(NumberIn(request->headers(), kVersionHeader));
-  if (version() != known) {
+  if (version() > known) {
     AnswerNow(std::move(request), known);
     return;
   }
-  m_waiting.emplace_back();
-  auto entry = std::prev(m_waiting.end());
-  request->SetEndHandler(
-      [this, entry](bool) { m_deferred.Post([this, entry] { m_waiting.erase(entry); }); });
-  entry->request = std::move(request);
-  entry->timer = std::make_unique<Timer>(m_loop, [this, entry, known] {
-    if (entry->request == nullptr) return;
-    entry->request->SetEndHandler(nullptr);
-    AnswerNow(std::move(entry->request), known);
-    m_deferred.Post([this, entry] { m_waiting.erase(entry); });
+  uint64_t number = m_next_waiting++;
+  Waiting& waiting = m_waiting[number];
+  request->SetEndHandler([this, number](bool) { Forget(number); });
+  waiting.request = std::move(request);
+  waiting.timer = std::make_unique<Timer>(m_loop, [this, number, known] {
+    auto it = m_waiting.find(number);
+    if (it == m_waiting.end() || it->second.request == nullptr) return;
+    it->second.request->SetEndHandler(nullptr);
+    AnswerNow(std::move(it->second.request), known);
+    Forget(number);
   });
-  entry->timer->Start(kWait);
+  waiting.timer->Start(kWait);
+}
+
+// Both the end of the wait and the end of the connection may come in one turn of the loop, and each
+// of them in a callback of what is removed.
+void ConfigRelay::Forget(uint64_t waiting) {
+  m_deferred.Post([this, waiting] { m_waiting.erase(waiting); });
 }
 
 void ConfigRelay::AnswerWaiting() {
-  for (auto& waiting : m_waiting) {
+  for (auto& [number, waiting] : m_waiting) {
     if (waiting.request != nullptr) waiting.timer->Start(std::chrono::microseconds(0));
   }
 }
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <list>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -53,6 +53,7 @@
   void OnReply(const std::string& node, const std::optional<HttpReply>& reply);
   void AnswerNow(std::unique_ptr<DownstreamRequest> request, uint64_t known);
   void AnswerWaiting();
+  void Forget(uint64_t waiting);
   uint64_t version() const { return m_table == nullptr ? 0 : m_table->version(); }
 
   EventLoop& m_loop;
@@ -66,7 +67,8 @@
   bool m_is_running = false;
   ConfigSource m_source = FromPlatform{};
   std::unique_ptr<HttpQuery> m_query;
-  std::list<Waiting> m_waiting;
+  std::map<uint64_t, Waiting> m_waiting;
+  uint64_t m_next_waiting = 1;
   PendingReplies m_replies;
   Counter& m_questions;
   Counter& m_failures;
--- /dev/null
+++ b/test/correctness/config_relay_survives_leaving_followers_test.cc
@@ -0,0 +1,73 @@
+// Guards against a follower that leaves just as its question is answered: its entry was removed
+// twice, which ended the process.
+#include <gtest/gtest.h>
+
+#include "config_relay.h"
+#include "fake_server.h"
+#include "test_loop.h"
+
+namespace guavatrail {
+namespace {
+
+std::shared_ptr<const ConfigTable> TableAt(uint64_t version) {
+  return std::make_shared<const ConfigTable>(
+      *ConfigTable::FromResources(version, {Service{.name = "catalogo"}}));
+}
+
+class ConfigRelaySurvivesLeavingFollowers : public testing::Test {
+ protected:
+  ConfigRelaySurvivesLeavingFollowers()
+      : m_relay(m_loop, {"node-1", "braga"}, "", m_metrics,
+                {.adopt = [](auto) {}, .watch_platform = [](bool) {}}),
+        m_listener(m_loop, [this](auto request) { m_relay.Answer(std::move(request)); }) {
+    EXPECT_TRUE(m_listener.Listen("127.0.0.1", 0));
+    m_relay.SetTable(TableAt(1));
+  }
+
+  std::unique_ptr<FakeClient> Ask(uint64_t known) {
+    auto client = std::make_unique<FakeClient>(m_loop, m_listener.port());
+    client->Send("GET /guavatrail/v1/config HTTP/1.1\r\nHost: a\r\nX-Guavatrail-Config-Version: " +
+                 std::to_string(known) + "\r\n\r\n");
+    return client;
+  }
+
+  EventLoop m_loop;
+  Metrics m_metrics;
+  ConfigRelay m_relay;
+  HttpListener m_listener;
+};
+
+TEST_F(ConfigRelaySurvivesLeavingFollowers, AsTheTableChanges) {
+  uint64_t version = 1;
+  for (int round = 0; round < 50; ++round) {
+    std::vector<std::unique_ptr<FakeClient>> clients;
+    for (int i = 0; i < 8; ++i) clients.push_back(Ask(version));
+    RunFor(m_loop, std::chrono::milliseconds(4));
+    // The change and the close reach the relay in the same turn of the loop.
+    m_relay.SetTable(TableAt(++version));
+    for (auto& client : clients) client->Close();
+    RunFor(m_loop, std::chrono::milliseconds(4));
+  }
+}
+
+TEST_F(ConfigRelaySurvivesLeavingFollowers, AChangeAnswersThoseThatWait) {
+  auto client = Ask(1);
+  RunFor(m_loop, std::chrono::milliseconds(50));
+  EXPECT_EQ(client->status(), 0);
+  m_relay.Confirm();
+  m_relay.SetTable(TableAt(2));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->HasWholeAnswer(); }));
+  EXPECT_EQ(client->status(), 200);
+  EXPECT_EQ(client->header("X-Guavatrail-Config-Version"), "2");
+  EXPECT_LT(std::stoi(client->header("X-Guavatrail-Config-Age-Ms")), 1000);
+}
+
+TEST_F(ConfigRelaySurvivesLeavingFollowers, WithoutAChangeTheAgeIsTold) {
+  auto client = Ask(1);
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return client->status() != 0; }));
+  EXPECT_EQ(client->status(), 304);
+  EXPECT_NE(client->header("X-Guavatrail-Config-Age-Ms"), "");
+}
+
+}  // namespace
+}  // namespace guavatrail
