Pace large answers on thin links, and send large work where the link is not behind

Pattern: bulk answers on a thin link delay the short ones. Test ports of whole nodes are taken below the ephemeral range.

--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -8,6 +8,8 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace guavatrail {
 
 namespace {
@@ -82,6 +84,7 @@
 
 DownstreamConnection::~DownstreamConnection() {
   if (m_request != nullptr) m_request->m_connection = nullptr;
+  EndPacing();
   evbuffer_remove_cb_entry(bufferevent_get_output(m_bev), m_output_entry);
   bufferevent_free(m_bev);
   evbuffer_free(m_body);
@@ -111,6 +114,12 @@
 
 void DownstreamConnection::OnWritten(size_t bytes, size_t left) {
   if (m_state != State::kAnswering) return;
+  if (m_paced_bytes > 1) {
+    // One byte stays, as the mark that the connection is paced.
+    int64_t written = std::min(static_cast<int64_t>(bytes), m_paced_bytes - 1);
+    m_listener.m_pacer->backlog().Remove(written);
+    m_paced_bytes -= written;
+  }
   if (m_request != nullptr) m_request->OnWritten(bytes, left);
   // The output is in use by libevent inside this callback.
   if (left == 0 && m_is_answer_whole) {
@@ -120,6 +129,21 @@
   }
 }
 
+void DownstreamConnection::ExpectAnswerBytes(uint64_t bytes) {
+  auto length = static_cast<int64_t>(bytes);
+  if (m_listener.m_pacer == nullptr || length <= LinkPacer::kLargeBytes) return;
+  m_paced_bytes = length;
+  m_listener.m_pacer->backlog().Add(length);
+  m_listener.m_pacer->Join(m_bev);
+}
+
+void DownstreamConnection::EndPacing() {
+  if (m_paced_bytes == 0) return;
+  m_listener.m_pacer->backlog().Remove(m_paced_bytes);
+  m_paced_bytes = 0;
+  m_listener.m_pacer->Leave(m_bev);
+}
+
 void DownstreamConnection::StartReadTimer() { m_timer.Start(m_listener.m_limits.read_timeout); }
 
 void DownstreamConnection::Read() {
@@ -209,6 +233,7 @@
 }
 
 void DownstreamConnection::OnAnswerWritten() {
+  EndPacing();
   DownstreamRequest* request = m_request;
   m_request = nullptr;
   m_is_answer_whole = false;
@@ -253,6 +278,7 @@
   if (m_state == State::kClosed) return;
   m_state = State::kClosed;
   m_timer.Cancel();
+  EndPacing();
   bufferevent_disable(m_bev, EV_READ | EV_WRITE);
   bufferevent_setcb(m_bev, nullptr, nullptr, nullptr, nullptr);
   DownstreamRequest* request = m_request;
--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -35,6 +35,8 @@
   void Break(bool reset);
   // The request goes away without an interest in what is still unsent.
   void Forget() { m_request = nullptr; }
+  // The answer that begins has this many bytes; a large one is paced.
+  void ExpectAnswerBytes(uint64_t bytes);
 
  private:
   enum class State {
@@ -55,6 +57,7 @@
   void OnTimer();
   void OnWritten(size_t bytes, size_t left);
   void OnAnswerWritten();
+  void EndPacing();
   void Linger();
   void Close();
   void StartReadTimer();
@@ -68,6 +71,7 @@
   Timer m_timer;
   State m_state = State::kReading;
   DownstreamRequest* m_request = nullptr;
+  int64_t m_paced_bytes = 0;       // Of a large answer, not yet written; 0: not paced.
   bool m_closes = false;           // The connection ends after the current answer.
   bool m_is_answer_whole = false;  // All bytes of the current answer are in the output.
   bool m_has_first_byte = false;   // Of the request that is read.
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -16,6 +16,7 @@
 #include "deferred_queue.h"
 #include "event_loop.h"
 #include "http_headers.h"
+#include "link_pacer.h"
 
 struct evbuffer;
 struct evconnlistener;
@@ -139,6 +140,8 @@
   void SetLimits(const HttpLimits& limits) { m_limits = limits; }
   // From now on each answer closes its connection.
   void CloseAfterAnswers() { m_closes_after_answers = true; }
+  // Large answers are paced from now on. The pacer must outlive the listener.
+  void SetPacer(LinkPacer& pacer) { m_pacer = &pacer; }
   // Takes no new connections.
   void StopAccepting();
 
@@ -157,6 +160,7 @@
   EventLoop& m_loop;
   Handler m_handler;
   HttpLimits m_limits;
+  LinkPacer* m_pacer = nullptr;
   bool m_closes_after_answers = false;
   DeferredQueue m_deferred;
   std::unique_ptr<evconnlistener, ListenerDeleter> m_listener;
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -56,6 +56,7 @@
 
   // Goes on with all requests, and closes each connection behind its next answer.
   void CloseAfterAnswers() { m_listener.CloseAfterAnswers(); }
+  void SetPacer(LinkPacer& pacer) { m_listener.SetPacer(pacer); }
   void SetLimits(const CallerLimits& limits);
 
   uint16_t port() const { return m_listener.port(); }
--- /dev/null
+++ b/src/link_pacer.h
@@ -0,0 +1,60 @@
+// Defines LinkPacer, which keeps large answers from filling the VM's link, so that short answers do
+// not wait behind them.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+#include "event_loop.h"
+
+struct bufferevent;
+struct bufferevent_rate_limit_group;
+
+namespace guavatrail {
+
+// What large answers hold of a link. Pure.
+class LinkBacklog {
+ public:
+  // Bytes a second that large answers may take; 0: no bound.
+  explicit LinkBacklog(int64_t bytes_per_second) : m_rate(bytes_per_second) {}
+
+  void Add(int64_t bytes) { m_bytes += bytes; }
+  // Bytes were sent, or will not be.
+  void Remove(int64_t bytes) { m_bytes = bytes > m_bytes ? 0 : m_bytes - bytes; }
+
+  int64_t bytes() const { return m_bytes; }
+  // Time until what is held now has been sent.
+  int64_t WaitMs() const;
+  // Time until another answer of `bytes` would have been sent.
+  int64_t TimeMs(int64_t bytes) const;
+
+ private:
+  int64_t m_rate;
+  int64_t m_bytes = 0;
+};
+
+// Shares a part of the link's rate among the connections that carry large answers. All others write
+// as they like.
+class LinkPacer {
+ public:
+  // Answers up to this size are short.
+  static constexpr int64_t kLargeBytes = 16'384;
+
+  // `link_mbps` 0: the link is not known to be a bound.
+  LinkPacer(EventLoop& loop, double link_mbps);
+  ~LinkPacer();
+  LinkPacer(const LinkPacer&) = delete;
+  LinkPacer& operator=(const LinkPacer&) = delete;
+
+  void Join(bufferevent* bev);
+  void Leave(bufferevent* bev);
+
+  LinkBacklog& backlog() { return m_backlog; }
+
+ private:
+  bufferevent_rate_limit_group* m_group = nullptr;  // Null: not paced.
+  LinkBacklog m_backlog;
+};
+
+}  // namespace guavatrail
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -23,6 +23,8 @@
 // the key learns it.
 constexpr std::chrono::milliseconds kOrderOvertime{30'000};
 constexpr std::chrono::milliseconds kQueueCheck{20};
+// A request with a large answer looks for another node when the link is behind by more than this.
+constexpr int64_t kOfferedLinkWaitMs = 60;
 constexpr int64_t kDrainRetryAfterMs = 100;
 constexpr std::string_view kDefaultWork = "unnamed;importance=1;short;once";
 
@@ -303,6 +305,11 @@
   call.downstream->SetEndHandler([this, &call](bool written) { OnDownstreamEnd(call, written); });
   int64_t now_us = EventLoop::NowUs();
   bool is_offer = FindHeader(call.downstream->headers(), kOfferHeader) != nullptr;
+  if (auto wait_ms = LinkWaitMs(call, is_offer)) {
+    call.wait_ms = *wait_ms;
+    Refuse(call, *wait_ms, is_offer ? kReasonBusy : kReasonOverload);
+    return;
+  }
   AdmissionDecision decision = Arrive(m_admission,
                                       {.id = id,
                                        .importance = work.importance,
@@ -324,6 +331,18 @@
   ReportLoad();
 }
 
+// How far the link is behind, where that is a reason to refuse a request with a large answer.
+std::optional<int64_t> ServingProxy::LinkWaitMs(const Call& call, bool is_offer) const {
+  if (m_pacer == nullptr) return std::nullopt;
+  int64_t bytes = m_answer_sizes.TypicalBytes(call.work.name);
+  if (bytes <= LinkPacer::kLargeBytes) return std::nullopt;
+  int64_t wait_ms = m_pacer->backlog().WaitMs();
+  int64_t left_ms = (call.deadline_us - EventLoop::NowUs()) / kUsPerMs;
+  bool is_behind =
+      is_offer ? wait_ms > kOfferedLinkWaitMs : m_pacer->backlog().TimeMs(bytes) > left_ms / 2;
+  return is_behind ? std::optional<int64_t>(std::max<int64_t>(1, wait_ms)) : std::nullopt;
+}
+
 void ServingProxy::Apply(const AdmissionChanges& changes) {
   for (const AdmissionRefusal& refusal : changes.refuse) {
     auto it = m_calls.find(refusal.id);
@@ -452,6 +471,7 @@
   }
   HeaderList headers = head.headers;
   RemoveNodeHeaders(headers);
+  if (head.content_length) m_answer_sizes.Add(call.work.name, *head.content_length);
   int64_t server_us = EventLoop::NowUs() - call.start_us;
   m_metrics.GetHistogram("server_answer_us", "kind=\"" + call.work.name + "\"").Record(server_us);
   if (call.is_keyed()) call.answer = {head.status, headers, ""};
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "admission.h"
+#include "answer_sizes.h"
 #include "connection_pool.h"
 #include "downstream_request.h"
 #include "event_loop.h"
@@ -53,6 +54,11 @@
   void CloseGate(std::string_view reason, std::chrono::milliseconds queue_time);
   // Takes the questions of other nodes for the configuration.
   void SetConfigHandler(HttpListener::Handler handler) { m_config_handler = std::move(handler); }
+  // Large answers are paced, and kinds that have them are refused while the link is behind.
+  void SetPacer(LinkPacer& pacer) {
+    m_pacer = &pacer;
+    m_listener.SetPacer(pacer);
+  }
   void SetServerObserver(ServerObserver observer) { m_observer = std::move(observer); }
 
   uint16_t port() const { return m_listener.port(); }
@@ -75,6 +81,7 @@
   void RefuseAtOnce(std::unique_ptr<DownstreamRequest> request, std::string_view reason);
 
   void Admit(std::unique_ptr<DownstreamRequest> request, const WorkTag& work, uint64_t serial);
+  std::optional<int64_t> LinkWaitMs(const Call& call, bool is_offer) const;
   void Apply(const AdmissionChanges& changes);
   void Run(Call& call);
   void Send(Call& call, std::chrono::milliseconds max_idle);
@@ -110,6 +117,8 @@
   OuterProtocol m_protocol;
   ServerObserver m_observer;
   HttpListener::Handler m_config_handler;
+  LinkPacer* m_pacer = nullptr;
+  AnswerSizes m_answer_sizes;
   Gate m_gate;
   std::string m_name;
   std::string m_service;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -83,6 +83,8 @@
       GUAVATRAIL_INTEGER(listen, admin_port, true, 1, kMaxPort, "HTTP port for operators."),
       GUAVATRAIL_INTEGER(listen, ready_port, false, 0, kMaxPort,
                          "HTTP port for the platform's readiness questions; 0: none."),
+      GUAVATRAIL_REAL(listen, link_mbps, false, 0.0, 1e6,
+                      "Rate of the VM's link in Mbit/s, for pacing large answers; 0: not known."),
       GUAVATRAIL_TEXT(listen, caller_address, false, address,
                       "IP:PORT for callers, in place of caller_port."),
       GUAVATRAIL_TEXT(listen, control_address, false, address,
--- a/src/settings.h
+++ b/src/settings.h
@@ -26,6 +26,7 @@
   int64_t peer_port = 0;
   int64_t control_port = 0;
   int64_t admin_port = 0;
+  double link_mbps = 0;  // Rate of the VM's link; 0: not known to be a bound.
   // For the platform's questions whether the node may get callers; 0: none.
   int64_t ready_port = 0;
   // "IP:PORT", in place of ip and the port alone; empty: not used.
--- a/test/support/fake_server.cc
+++ b/test/support/fake_server.cc
@@ -169,6 +169,24 @@
   return port;
 }
 
+uint16_t FreeFixedPort() {
+  constexpr int kFirstPort = 20'000;
+  constexpr int kPorts = 12'000;
+  static int next = getpid() * 37 % kPorts;
+  for (int i = 0; i < kPorts; ++i) {
+    int port = kFirstPort + next++ % kPorts;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bool is_free = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (is_free) return static_cast<uint16_t>(port);
+  }
+  return 0;
+}
+
 std::string Answer(int status, std::string_view body, std::string_view headers) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
   text.append(headers);
--- a/test/support/fake_server.h
+++ b/test/support/fake_server.h
@@ -74,6 +74,10 @@
 // A port on the loopback interface on which nothing listens.
 uint16_t UnusedPort();
 
+// A free port below the range from which the system takes ports for connections, so that none of
+// these occupies it before it is listened on. Another one at each call.
+uint16_t FreeFixedPort();
+
 // An answer with Content-Length; `headers` are lines ending in CRLF.
 std::string Answer(int status, std::string_view body, std::string_view headers = "");
 
--- a/test/support/mesh_fixture.h
+++ b/test/support/mesh_fixture.h
@@ -54,10 +54,10 @@
     Settings& settings = machine.settings;
     settings.node = {"node-" + std::to_string(m_machines.size()), service, "norte", "braga"};
     settings.listen.ip = "127.0.0.1";
-    settings.listen.caller_port = UnusedPort();
-    settings.listen.control_port = UnusedPort();
-    settings.listen.ready_port = UnusedPort();
-    settings.listen.admin_port = UnusedPort();
+    settings.listen.caller_port = FreeFixedPort();
+    settings.listen.control_port = FreeFixedPort();
+    settings.listen.ready_port = FreeFixedPort();
+    settings.listen.admin_port = FreeFixedPort();
     settings.server.ip = "127.0.0.1";
     settings.server.port = machine.server->port();
     settings.server.reserved_short_slots = 0;
