--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -24,7 +24,7 @@
 // Most serving nodes that one call is sent to.
 inline constexpr int kMaxTries = 6;
 // Serving nodes that are asked for a free slot before the request waits at one of them.
-inline constexpr int kOffers = 3;
+inline constexpr int kOffers = 2;
 inline constexpr int64_t kUsualRetryAfterMs = 100;
 
 // One try of a call on one serving node.
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -211,9 +211,12 @@
   bool is_repeatable = call.work.mode == RunMode::kRepeatable;
   bool is_offer = call.offers_made < kOffers;
   const Endpoint* server = nullptr;
+  // A large answer costs the links between data centres more than a wait costs its caller.
+  bool stays_local =
+      is_offer && m_answer_sizes.TypicalBytes(call.work.name) > LinkPacer::kLargeBytes;
   if (is_offer || call.busy.empty()) {
     server = m_picker.Pick(call.service, call.tried, is_repeatable && call.tried.empty(),
-                           EventLoop::NowUs());
+                           stays_local, EventLoop::NowUs());
   }
   if (server == nullptr) {
     server = LeastBusy(call);
@@ -304,7 +307,7 @@
 void EntryProxy::Hedge(EntryCall& call) {
   if (call.is_answered || call.tries_started != 1) return;
   int64_t now_us = EventLoop::NowUs();
-  const Endpoint* server = m_picker.Pick(call.service, call.tried, false, now_us);
+  const Endpoint* server = m_picker.Pick(call.service, call.tried, false, false, now_us);
   if (server == nullptr || !m_picker.TakeHedge(call.service, now_us)) return;
   m_metrics.GetCounter("hedges_total", "kind=\"" + call.work.name + "\"").Add();
   StartTry(call, server, false);
@@ -333,6 +336,7 @@
   call.is_answered = true;
   call.last_reason.clear();
   call.status = head.status;
+  if (head.content_length) m_answer_sizes.Add(call.work.name, *head.content_length);
   call.is_late = now_us > call.deadline_us;
   call.deadline_timer.Cancel();
   call.hedge_timer.Cancel();
@@ -359,7 +363,8 @@
 // Starts a try on another server in place of `t`, whose answer is then dropped.
 bool EntryProxy::MoveElsewhere(EntryCall& call, EntryTry& t) {
   if (call.tries_started >= kMaxTries) return false;
-  const Endpoint* server = m_picker.Pick(call.service, call.tried, false, EventLoop::NowUs());
+  const Endpoint* server =
+      m_picker.Pick(call.service, call.tried, false, false, EventLoop::NowUs());
   if (server == nullptr || !m_picker.TakeRetry(call.service)) return false;
   t.is_refused = true;
   call.may_have_run = true;
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 #include <unordered_map>
 
+#include "answer_sizes.h"
 #include "burn.h"
 #include "downstream_request.h"
 #include "event_loop.h"
@@ -127,6 +128,7 @@
   std::unordered_map<uint64_t, std::unique_ptr<EntryCall>> m_calls;
   OuterProtocol m_protocol;
   ShareChooser m_shares;
+  AnswerSizes m_answer_sizes;
   RandomSource& m_random;
   bool m_draining = false;
   std::function<void()> m_on_idle;
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -71,8 +71,17 @@
   for (auto& [name, service] : m_services) SetReserve(service.retries, RetryReserve());
 }
 
+bool ServerPicker::HasLocal(std::string_view service) const {
+  const std::vector<size_t>& indices = m_endpoints->OfService(service);
+  return std::any_of(indices.begin(), indices.end(), [this](size_t index) {
+    const Endpoint& endpoint = m_endpoints->all()[index];
+    return IsLive(endpoint) && endpoint.data_centre == m_local_data_centre;
+  });
+}
+
 const Endpoint* ServerPicker::Pick(std::string_view service, const std::set<std::string>& excluded,
-                                   bool may_probe, int64_t now_us) {
+                                   bool may_probe, bool stays_local, int64_t now_us) {
+  bool is_bound = stays_local && HasLocal(service);
   Service& state = ServiceOf(service);
   std::vector<PlacementCandidate> candidates;
   std::vector<const Endpoint*> servers;
@@ -81,6 +90,7 @@
     for (size_t index : m_endpoints->OfService(service)) {
       const Endpoint& endpoint = m_endpoints->all()[index];
       if (!IsUsable(endpoint, member_state, excluded)) continue;
+      if (is_bound && endpoint.data_centre != m_local_data_centre) continue;
       ServerStanding standing = StandingOf(state.outliers, endpoint.node, now_us);
       if (standing == ServerStanding::kProbe && may_probe) {
         ProbeSent(state.outliers, endpoint.node, now_us);
--- a/src/server_picker.h
+++ b/src/server_picker.h
@@ -31,8 +31,9 @@
 
   // The server for a call to `service`, or null when none is alive, not draining and not in
   // `excluded`. `may_probe` lets the call go to a server that was put aside for being slow.
+  // `stays_local` keeps it in this data centre, where the service has servers there.
   const Endpoint* Pick(std::string_view service, const std::set<std::string>& excluded,
-                       bool may_probe, int64_t now_us);
+                       bool may_probe, bool stays_local, int64_t now_us);
   const EndpointList& endpoints() const { return *m_endpoints; }
 
   // Events of calls. Sent and Ended come in pairs.
@@ -63,6 +64,7 @@
     HedgePolicy hedges;
   };
   Service& ServiceOf(std::string_view name);
+  bool HasLocal(std::string_view service) const;
   double RetryReserve() const;
 
   std::string m_placement_name;
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -24,7 +24,7 @@
 constexpr std::chrono::milliseconds kOrderOvertime{30'000};
 constexpr std::chrono::milliseconds kQueueCheck{20};
 // A request with a large answer looks for another node when the link is behind by more than this.
-constexpr int64_t kOfferedLinkWaitMs = 60;
+constexpr int64_t kOfferedLinkWaitMs = 100;
 constexpr int64_t kDrainRetryAfterMs = 100;
 constexpr std::string_view kDefaultWork = "unnamed;importance=1;short;once";
 
