--- a/src/entry_proxy_orders.cc
+++ b/src/entry_proxy_orders.cc
@@ -32,7 +32,8 @@
 
 // Answers with a fresh key under which the order may be sent.
 void EntryProxy::FetchKey(EntryCall& call) {
-  const Endpoint* server = m_picker.Pick(call.service, call.tried, false, EventLoop::NowUs());
+  const Endpoint* server =
+      m_picker.Pick(call.service, call.tried, false, false, EventLoop::NowUs());
   if (server == nullptr || call.tries_started >= kMaxTries) {
     AnswerNotRun(call, call.retry_after_ms);
     return;
