--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -18,6 +18,7 @@
 // The serving node answers at the deadline; its answer needs this time to arrive.
 constexpr int64_t kDeadlineGraceMs = 50;
 constexpr int64_t kNoTableRetryAfterMs = 1'000;
+constexpr int64_t kLongLocalWaitMs = 250;
 // Requests that must not be repeated take connections used within this time; see ServingProxy.
 constexpr std::chrono::milliseconds kFreshIdle{1'000};
 constexpr std::chrono::milliseconds kUsualIdle{60'000};
@@ -209,14 +210,18 @@
 // Places the call on a server that it has not been tried on.
 void EntryProxy::StartNext(EntryCall& call) {
   bool is_repeatable = call.work.mode == RunMode::kRepeatable;
-  bool is_offer = call.offers_made < kOffers;
+  // A large answer costs the links between data centres more than a short wait costs its caller.
+  bool is_large = m_answer_sizes.TypicalBytes(call.work.name) > LinkPacer::kLargeBytes;
+  bool is_offer = call.offers_made < kOffers || (is_large && WaitsLong(call));
+  bool stays_local = is_large && call.offers_made < kOffers;
   const Endpoint* server = nullptr;
-  // A large answer costs the links between data centres more than a wait costs its caller.
-  bool stays_local =
-      is_offer && m_answer_sizes.TypicalBytes(call.work.name) > LinkPacer::kLargeBytes;
   if (is_offer || call.busy.empty()) {
     server = m_picker.Pick(call.service, call.tried, is_repeatable && call.tried.empty(),
                            stays_local, EventLoop::NowUs());
+    // The data centre has no more servers of the service.
+    if (server == nullptr && stays_local && WaitsLong(call)) {
+      server = m_picker.Pick(call.service, call.tried, false, false, EventLoop::NowUs());
+    }
   }
   if (server == nullptr) {
     server = LeastBusy(call);
@@ -229,6 +234,12 @@
   }
 }
 
+// Whether a large answer had better come from another data centre than wait where it was offered.
+bool EntryProxy::WaitsLong(const EntryCall& call) {
+  if (call.busy.empty() || call.offers_made > kOffers) return false;
+  return std::min_element(call.busy.begin(), call.busy.end())->first > kLongLocalWaitMs;
+}
+
 // The node at which the request would wait least, of those that had no free slot.
 const Endpoint* EntryProxy::LeastBusy(EntryCall& call) const {
   while (!call.busy.empty()) {
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -76,6 +76,7 @@
   // Tries on serving nodes.
   bool StartTry(EntryCall& call, const Endpoint* server, bool is_offer);
   const Endpoint* LeastBusy(EntryCall& call) const;
+  static bool WaitsLong(const EntryCall& call);
   void StartNext(EntryCall& call);
   void Hedge(EntryCall& call);
   void PlanHedge(EntryCall& call);
