--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -18,7 +18,7 @@
 // The serving node answers at the deadline; its answer needs this time to arrive.
 constexpr int64_t kDeadlineGraceMs = 50;
 constexpr int64_t kNoTableRetryAfterMs = 1'000;
-constexpr int64_t kLongLocalWaitMs = 250;
+constexpr int64_t kLongLocalWaitMs = 600;
 // Requests that must not be repeated take connections used within this time; see ServingProxy.
 constexpr std::chrono::milliseconds kFreshIdle{1'000};
 constexpr std::chrono::milliseconds kUsualIdle{60'000};
--- a/src/link_pacer.cc
+++ b/src/link_pacer.cc
@@ -10,7 +10,7 @@
 // Links of this rate and more are not the bound of a node.
 constexpr double kFastMbps = 500.0;
 // What is left over carries short answers, requests and control.
-constexpr double kLargeShare = 0.75;
+constexpr double kLargeShare = 0.9;
 constexpr double kBytesPerMbit = 125'000.0;
 constexpr int kTicksPerSecond = 100;
 constexpr int64_t kMsPerSecond = 1'000;
