--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -24,7 +24,7 @@
 // A question waits at the source for a change for this time; a source that says nothing for that
 // and the margin is taken as gone.
 constexpr std::chrono::milliseconds kWait{500};
-constexpr std::chrono::milliseconds kMargin{250};
+constexpr std::chrono::milliseconds kMargin{400};
 // How often a node that follows the platform looks whether it should.
 constexpr std::chrono::milliseconds kRoleCheck{1'000};
 // Between two questions that got no new table.
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -112,21 +112,6 @@
   m_listener.SetLimits(http);
 }
 
-void EntryProxy::HideNodeHeaders(HeaderList& headers) const {
-  if (!m_protocol.shows_node_headers) RemoveNodeHeaders(headers);
-}
-
-std::string EntryProxy::CallerIdOf(const DownstreamRequest& request) const {
-  if (m_protocol.request_id_header.empty()) return "";
-  const std::string* id = FindHeader(request.headers(), m_protocol.request_id_header);
-  return id == nullptr ? "" : *id;
-}
-
-void EntryProxy::EchoRequestId(const DownstreamRequest& request, HeaderList& headers) const {
-  std::string id = CallerIdOf(request);
-  if (!id.empty()) SetHeader(headers, m_protocol.request_id_header, id);
-}
-
 void EntryProxy::RefuseAtOnce(std::unique_ptr<DownstreamRequest> request, int status,
                               std::string_view reason) {
   HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}, {kReasonHeader, std::string(reason)}};
@@ -481,70 +466,6 @@
   }
 }
 
-// Gives up a call that is not a keyed order.
-void EntryProxy::AnswerFailed(EntryCall& call, int status) {
-  if (call.may_have_run) {
-    AnswerUnknown(call, status);
-  } else {
-    AnswerNotRun(call, call.retry_after_ms);
-  }
-}
-
-void EntryProxy::AnswerNotRun(EntryCall& call, int64_t retry_after_ms) {
-  HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}};
-  if (m_protocol.has_fractional_retry_after) {
-    SetFractionalRetryAfter(headers, retry_after_ms);
-  } else {
-    SetRetryAfter(headers, retry_after_ms);
-  }
-  Answer(call, kHttpServiceUnavailable, std::move(headers), CallOutcome::kRefused);
-}
-
-void EntryProxy::AnswerUnknown(EntryCall& call, int status) {
-  Answer(call, status, {{kOutcomeHeader, kOutcomeUnknown}}, CallOutcome::kUnknown);
-}
-
-void EntryProxy::Answer(EntryCall& call, int status, HeaderList headers, CallOutcome outcome) {
-  if (call.is_answered) return;
-  call.is_answered = true;
-  call.deadline_timer.Cancel();
-  call.hedge_timer.Cancel();
-  EndOtherTries(call, nullptr);
-  SetHeader(headers, kRequestIdHeader, call.request_id);
-  HideNodeHeaders(headers);
-  EchoRequestId(*call.downstream, headers);
-  call.status = status;
-  call.downstream->Reply(status, headers, "");
-  Observe(call, outcome);
-}
-
-void EntryProxy::Observe(EntryCall& call, CallOutcome outcome) {
-  if (call.is_observed) return;
-  call.is_observed = true;
-  LogCall(call, outcome);
-  std::string labels = "service=\"" + call.service + "\",kind=\"" + call.work.name +
-                       "\",outcome=\"" + std::string(ToString(outcome)) + "\"";
-  m_metrics.GetCounter("calls_total", labels).Add();
-  if (!m_observer) return;
-  m_observer({.service = call.service,
-              .kind = call.work.name,
-              .outcome = outcome,
-              .latency_us = EventLoop::NowUs() - call.downstream->arrival_us(),
-              .body_bytes = call.relay.body_bytes()});
-}
-
-void EntryProxy::LogCall(const EntryCall& call, CallOutcome outcome) const {
-  LOG(INFO) << "event=request id=" << CallerIdOf(*call.downstream) << " try_id=" << call.request_id
-            << " route=" << call.route << " service=" << call.service
-            << " outcome=" << ToString(outcome) << " status=" << call.status
-            << " tries=" << call.tries_started << " reached=" << call.servers_reached
-            << " last_node=" << call.last_node
-            << " reason=" << (call.last_reason.empty() ? "none" : call.last_reason)
-            << " may_have_run=" << call.may_have_run << " config_version=" << call.config_version
-            << " endpoints=" << m_picker.endpoints().OfService(call.service).size()
-            << " ms=" << (EventLoop::NowUs() - call.downstream->arrival_us()) / kUsPerMs;
-}
-
 void EntryProxy::OnDownstreamEnd(EntryCall& call, bool written) {
   // A caller that has left cancels the work; a keyed order runs on at its serving node.
   if (!written && !call.is_observed) {
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -5,7 +5,7 @@
 
 #include "deadline.h"
 #include "placement.h"
-#include "stream_relay.h"
+#include "serving_call.h"
 
 namespace guavatrail {
 
@@ -23,9 +23,6 @@
 // the key learns it.
 constexpr std::chrono::milliseconds kOrderOvertime{30'000};
 constexpr std::chrono::milliseconds kQueueCheck{20};
-// A request with a large answer looks for another node when the link is behind by more than this.
-constexpr int64_t kOfferedLinkWaitMs = 100;
-constexpr int64_t kDrainRetryAfterMs = 100;
 constexpr std::string_view kDefaultWork = "unnamed;importance=1;short;once";
 
 AdmissionPolicy MakeAdmission(const Settings& settings) {
@@ -57,54 +54,8 @@
   return ms ? request.arrival_us() + *ms * kUsPerMs : 0;
 }
 
-std::string RequestIdOf(const DownstreamRequest& request) {
-  const std::string* id = FindHeader(request.headers(), kRequestIdHeader);
-  return id == nullptr ? "" : *id;
-}
-
-std::string KeyOf(const DownstreamRequest& request) {
-  const std::string* key = FindHeader(request.headers(), kOrderKeyHeader);
-  return key == nullptr ? "" : *key;
-}
-
 }  // namespace
 
-struct ServingProxy::Call {
-  enum class Phase {
-    kQueued,
-    kRunning,  // Holds a slot.
-    kEnded,    // Left the admission policy.
-  };
-
-  Call(EventLoop& loop, std::unique_ptr<DownstreamRequest> request, std::function<void()> on_timer)
-      : downstream(std::move(request)), relay(*downstream), timer(loop, std::move(on_timer)) {}
-
-  bool is_keyed() const { return serial != 0; }
-  // Whether the answer still goes to the sender of the request.
-  bool is_attached() const { return !downstream->has_ended() && !is_given_up; }
-
-  uint64_t id = 0;
-  uint64_t serial = 0;  // Of keyed orders; 0 otherwise.
-  std::string request_id;
-  int64_t retry_after_ms = 0;  // Of a refusal.
-  int64_t wait_ms = 0;         // Predicted when an offer was refused.
-  std::string server_id;       // That the request was sent to.
-  WorkTag work;
-  Phase phase = Phase::kQueued;
-  int64_t deadline_us = 0;
-  int64_t start_us = 0;
-  bool is_given_up = false;  // The sender was told that the outcome is unknown.
-  bool is_second_try = false;
-  std::string refusal;         // The backend server turned the request away, and why; else empty.
-  bool may_have_left = false;  // An earlier try may have reached the server.
-  StoredAnswer answer;         // Of keyed orders.
-  bool is_storable = true;
-  std::unique_ptr<DownstreamRequest> downstream;
-  StreamRelay relay;
-  std::unique_ptr<Exchange> exchange;
-  Timer timer;  // The deadline; while an answer is streamed, the check for a stalled server.
-};
-
 ServingProxy::ServingProxy(EventLoop& loop, const Settings& settings, uint64_t incarnation,
                            Metrics& metrics, RandomSource&, OuterProtocol protocol)
     : m_loop(loop),
@@ -174,120 +125,6 @@
   }
 }
 
-void ServingProxy::OnOwnPath(std::unique_ptr<DownstreamRequest> request) {
-  std::string path(request->path());
-  if (path == kOrderKeyPath && request->method() == EVHTTP_REQ_POST) {
-    IssueKey(std::move(request));
-  } else if (path == kFencePath && request->method() == EVHTTP_REQ_POST) {
-    Fence(std::move(request));
-  } else if (path == kConfigPath && m_config_handler) {
-    m_config_handler(std::move(request));
-  } else if (path.starts_with(kProbePathPrefix) && request->method() == EVHTTP_REQ_GET) {
-    Probe(std::move(request));
-  } else {
-    m_replies.Reply(std::move(request), kHttpNotFound, NodeHeaders(kOutcomeNotRun, ""));
-  }
-}
-
-void ServingProxy::IssueKey(std::unique_ptr<DownstreamRequest> request) {
-  if (m_draining) {
-    RefuseAtOnce(std::move(request), kReasonDraining);
-    return;
-  }
-  HeaderList headers = NodeHeaders(kOutcomeAnswered, RequestIdOf(*request));
-  SetHeader(headers, kOrderKeyHeader, m_orders.IssueKey());
-  m_metrics.GetCounter("order_keys_issued_total").Add();
-  m_replies.Reply(std::move(request), kHttpOk, headers);
-}
-
-void ServingProxy::Fence(std::unique_ptr<DownstreamRequest> request) {
-  std::string_view outcome =
-      m_orders.Fence(KeyOf(*request), [this](uint64_t serial) { return Withdraw(serial); });
-  m_metrics.GetCounter("order_fences_total", "outcome=\"" + std::string(outcome) + "\"").Add();
-  HeaderList headers = NodeHeaders(outcome, RequestIdOf(*request));
-  m_replies.Reply(std::move(request), kHttpOk, headers);
-}
-
-// Takes an order that still waits out of the queue.
-bool ServingProxy::Withdraw(uint64_t serial) {
-  auto it = m_by_serial.find(serial);
-  if (it == m_by_serial.end() || it->second->phase != Call::Phase::kQueued) return false;
-  Call& call = *it->second;
-  Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
-  Refuse(call, kDrainRetryAfterMs, kReasonFenced);
-  return true;
-}
-
-// The answer counts the bytes written, so that the entry node can tell an answer that is lost on a
-// silent connection from one that is not ready.
-void ServingProxy::Probe(std::unique_ptr<DownstreamRequest> request) {
-  std::string id(request->path().substr(kProbePathPrefix.size()));
-  auto it = m_by_request_id.find(id);
-  if (it == m_by_request_id.end()) {
-    m_replies.Reply(std::move(request), kHttpNotFound, NodeHeaders(kOutcomeUnknown, ""));
-    return;
-  }
-  std::string body = std::to_string(it->second->downstream->written_bytes());
-  m_replies.Reply(std::move(request), kHttpOk, NodeHeaders(kOutcomeRunning, ""), body);
-}
-
-void ServingProxy::OnOrder(std::unique_ptr<DownstreamRequest> request, const WorkTag& work) {
-  auto serial = m_orders.Arrive(KeyOf(*request), m_draining);
-  if (serial) {
-    Admit(std::move(request), work, *serial);
-    return;
-  }
-  OrderAnswer& answer = serial.error();
-  std::string outcome = *FindHeader(answer.headers, kOutcomeHeader);
-  for (auto& [name, value] : NodeHeaders(outcome, RequestIdOf(*request))) {
-    SetHeader(answer.headers, name, value);
-  }
-  m_metrics.GetCounter("order_repeats_total", "outcome=\"" + outcome + "\"").Add();
-  m_replies.Reply(std::move(request), answer.status, answer.headers, answer.body);
-}
-
-void ServingProxy::OpenGate(const std::string& server_id, int slots) {
-  bool is_new = !m_gate.is_open || m_gate.server_id != server_id;
-  m_gate = {true, server_id, ""};
-  m_gate_timer.Cancel();
-  if (auto* admission = std::get_if<SlotAdmission>(&m_admission)) admission->SetSlots(slots);
-  if (is_new) LOG(INFO) << "event=gate_opened server=" << server_id << " slots=" << slots;
-}
-
-void ServingProxy::CloseGate(std::string_view reason, std::chrono::milliseconds queue_time) {
-  if (m_gate.is_open) {
-    LOG(INFO) << "event=gate_closed server=" << m_gate.server_id << " reason=" << reason
-              << " queued=" << LoadOf(m_admission).queued
-              << " in_service=" << LoadOf(m_admission).in_service;
-  }
-  m_gate.is_open = false;
-  m_gate.reason = reason;
-  m_gate_timer.Start(queue_time);
-}
-
-// What still waits when the time of a closed gate is over is refused, so that it goes elsewhere.
-void ServingProxy::RefuseQueue() {
-  if (m_gate.is_open) return;
-  std::vector<uint64_t> queued;
-  for (const auto& [id, call] : m_calls) {
-    if (call->phase == Call::Phase::kQueued) queued.push_back(id);
-  }
-  for (uint64_t id : queued) {
-    Call& call = *m_calls.at(id);
-    Apply(Cancel(m_admission, id, EventLoop::NowUs()));
-    Refuse(call, kDrainRetryAfterMs, m_gate.reason);
-  }
-}
-
-void ServingProxy::RefuseAtOnce(std::unique_ptr<DownstreamRequest> request,
-                                std::string_view reason) {
-  HeaderList headers = NodeHeaders(kOutcomeNotRun, RequestIdOf(*request));
-  SetHeader(headers, kReasonHeader, reason);
-  SetRetryAfter(headers, kDrainRetryAfterMs);
-  m_metrics.GetCounter("serving_refused_total", "reason=\"" + std::string(reason) + "\"").Add();
-  m_replies.Reply(std::move(request), kHttpServiceUnavailable, headers);
-}
-
 void ServingProxy::Admit(std::unique_ptr<DownstreamRequest> request, const WorkTag& work,
                          uint64_t serial) {
   uint64_t id = m_next_id++;
@@ -331,18 +168,6 @@
   ReportLoad();
 }
 
-// How far the link is behind, where that is a reason to refuse a request with a large answer.
-std::optional<int64_t> ServingProxy::LinkWaitMs(const Call& call, bool is_offer) const {
-  if (m_pacer == nullptr) return std::nullopt;
-  int64_t bytes = m_answer_sizes.TypicalBytes(call.work.name);
-  if (bytes <= LinkPacer::kLargeBytes) return std::nullopt;
-  int64_t wait_ms = m_pacer->backlog().WaitMs();
-  int64_t left_ms = (call.deadline_us - EventLoop::NowUs()) / kUsPerMs;
-  bool is_behind =
-      is_offer ? wait_ms > kOfferedLinkWaitMs : m_pacer->backlog().TimeMs(bytes) > left_ms / 2;
-  return is_behind ? std::optional<int64_t>(std::max<int64_t>(1, wait_ms)) : std::nullopt;
-}
-
 void ServingProxy::Apply(const AdmissionChanges& changes) {
   for (const AdmissionRefusal& refusal : changes.refuse) {
     auto it = m_calls.find(refusal.id);
@@ -429,41 +254,6 @@
                                .done = [this, &call](ExchangeEnd e) { OnDone(call, e); }});
 }
 
-HeaderList ServingProxy::ServerHeaders(const Call& call) const {
-  HeaderList headers = call.downstream->headers();
-  RemoveNodeHeaders(headers);
-  SetHeader(headers, m_protocol.deadline_header,
-            FormatDeadlineMs(call.deadline_us, EventLoop::NowUs()));
-  if (m_protocol.shows_node_headers && !call.request_id.empty()) {
-    SetHeader(headers, kRequestIdHeader, call.request_id);
-  }
-  if (!m_protocol.expected_server_header.empty()) {
-    SetHeader(headers, m_protocol.expected_server_header, m_gate.server_id);
-  }
-  return headers;
-}
-
-// Whether the backend server says that it did not run the request and that it may run elsewhere.
-bool ServingProxy::IsRefusal(const AnswerHead& head) const {
-  if (!m_protocol.expected_server_header.empty() && head.status == kHttpMisdirected) return true;
-  if (m_protocol.not_run_header.empty()) return false;
-  bool is_shed = head.status == kHttpServiceUnavailable || head.status == kHttpTooManyRequests;
-  return is_shed && FindHeader(head.headers, m_protocol.not_run_header) != nullptr;
-}
-
-void ServingProxy::OnServerRefusal(Call& call) {
-  call.phase = Call::Phase::kEnded;
-  call.timer.Cancel();
-  AnswerNotRun(call, call.refusal, kDrainRetryAfterMs);
-  Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
-  ReportLoad();
-  if (call.refusal == kReasonWrongServer && call.server_id == m_gate.server_id) {
-    CloseGate(kReasonNoServer, std::chrono::milliseconds(0));
-    if (m_observer.on_wrong_server) m_observer.on_wrong_server(call.server_id);
-  }
-  RemoveIfEnded(call);
-}
-
 void ServingProxy::OnHead(Call& call, const AnswerHead& head) {
   if (IsRefusal(head)) {
     call.refusal = head.status == kHttpMisdirected ? kReasonWrongServer : kReasonServerFull;
--- /dev/null
+++ b/src/serving_proxy_gate.cc
@@ -0,0 +1,107 @@
+// What ServingProxy knows of its backend server: whether it takes work, which one it is, and how it
+// turns work away.
+#include <glog/logging.h>
+
+#include "deadline.h"
+#include "serving_call.h"
+
+namespace guavatrail {
+
+namespace {
+
+constexpr int64_t kUsPerMs = 1000;
+// A request with a large answer looks for another node when the link is behind by more than this.
+constexpr int64_t kOfferedLinkWaitMs = 100;
+
+}  // namespace
+
+void ServingProxy::OpenGate(const std::string& server_id, int slots) {
+  bool is_new = !m_gate.is_open || m_gate.server_id != server_id;
+  m_gate = {true, server_id, ""};
+  m_gate_timer.Cancel();
+  if (auto* admission = std::get_if<SlotAdmission>(&m_admission)) admission->SetSlots(slots);
+  if (is_new) LOG(INFO) << "event=gate_opened server=" << server_id << " slots=" << slots;
+}
+
+void ServingProxy::CloseGate(std::string_view reason, std::chrono::milliseconds queue_time) {
+  if (m_gate.is_open) {
+    LOG(INFO) << "event=gate_closed server=" << m_gate.server_id << " reason=" << reason
+              << " queued=" << LoadOf(m_admission).queued
+              << " in_service=" << LoadOf(m_admission).in_service;
+  }
+  m_gate.is_open = false;
+  m_gate.reason = reason;
+  m_gate_timer.Start(queue_time);
+}
+
+// What still waits when the time of a closed gate is over is refused, so that it goes elsewhere.
+void ServingProxy::RefuseQueue() {
+  if (m_gate.is_open) return;
+  std::vector<uint64_t> queued;
+  for (const auto& [id, call] : m_calls) {
+    if (call->phase == Call::Phase::kQueued) queued.push_back(id);
+  }
+  for (uint64_t id : queued) {
+    Call& call = *m_calls.at(id);
+    Apply(Cancel(m_admission, id, EventLoop::NowUs()));
+    Refuse(call, kDrainRetryAfterMs, m_gate.reason);
+  }
+}
+
+void ServingProxy::RefuseAtOnce(std::unique_ptr<DownstreamRequest> request,
+                                std::string_view reason) {
+  HeaderList headers = NodeHeaders(kOutcomeNotRun, RequestIdOf(*request));
+  SetHeader(headers, kReasonHeader, reason);
+  SetRetryAfter(headers, kDrainRetryAfterMs);
+  m_metrics.GetCounter("serving_refused_total", "reason=\"" + std::string(reason) + "\"").Add();
+  m_replies.Reply(std::move(request), kHttpServiceUnavailable, headers);
+}
+
+// How far the link is behind, where that is a reason to refuse a request with a large answer.
+std::optional<int64_t> ServingProxy::LinkWaitMs(const Call& call, bool is_offer) const {
+  if (m_pacer == nullptr) return std::nullopt;
+  int64_t bytes = m_answer_sizes.TypicalBytes(call.work.name);
+  if (bytes <= LinkPacer::kLargeBytes) return std::nullopt;
+  int64_t wait_ms = m_pacer->backlog().WaitMs();
+  int64_t left_ms = (call.deadline_us - EventLoop::NowUs()) / kUsPerMs;
+  bool is_behind =
+      is_offer ? wait_ms > kOfferedLinkWaitMs : m_pacer->backlog().TimeMs(bytes) > left_ms / 2;
+  return is_behind ? std::optional<int64_t>(std::max<int64_t>(1, wait_ms)) : std::nullopt;
+}
+
+HeaderList ServingProxy::ServerHeaders(const Call& call) const {
+  HeaderList headers = call.downstream->headers();
+  RemoveNodeHeaders(headers);
+  SetHeader(headers, m_protocol.deadline_header,
+            FormatDeadlineMs(call.deadline_us, EventLoop::NowUs()));
+  if (m_protocol.shows_node_headers && !call.request_id.empty()) {
+    SetHeader(headers, kRequestIdHeader, call.request_id);
+  }
+  if (!m_protocol.expected_server_header.empty()) {
+    SetHeader(headers, m_protocol.expected_server_header, m_gate.server_id);
+  }
+  return headers;
+}
+
+// Whether the backend server says that it did not run the request and that it may run elsewhere.
+bool ServingProxy::IsRefusal(const AnswerHead& head) const {
+  if (!m_protocol.expected_server_header.empty() && head.status == kHttpMisdirected) return true;
+  if (m_protocol.not_run_header.empty()) return false;
+  bool is_shed = head.status == kHttpServiceUnavailable || head.status == kHttpTooManyRequests;
+  return is_shed && FindHeader(head.headers, m_protocol.not_run_header) != nullptr;
+}
+
+void ServingProxy::OnServerRefusal(Call& call) {
+  call.phase = Call::Phase::kEnded;
+  call.timer.Cancel();
+  AnswerNotRun(call, call.refusal, kDrainRetryAfterMs);
+  Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+  ReportLoad();
+  if (call.refusal == kReasonWrongServer && call.server_id == m_gate.server_id) {
+    CloseGate(kReasonNoServer, std::chrono::milliseconds(0));
+    if (m_observer.on_wrong_server) m_observer.on_wrong_server(call.server_id);
+  }
+  RemoveIfEnded(call);
+}
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/serving_proxy_paths.cc
@@ -0,0 +1,80 @@
+// The paths of a node's own on the peer port, and keyed orders.
+#include <glog/logging.h>
+
+#include "serving_call.h"
+
+namespace guavatrail {
+
+void ServingProxy::OnOwnPath(std::unique_ptr<DownstreamRequest> request) {
+  std::string path(request->path());
+  if (path == kOrderKeyPath && request->method() == EVHTTP_REQ_POST) {
+    IssueKey(std::move(request));
+  } else if (path == kFencePath && request->method() == EVHTTP_REQ_POST) {
+    Fence(std::move(request));
+  } else if (path == kConfigPath && m_config_handler) {
+    m_config_handler(std::move(request));
+  } else if (path.starts_with(kProbePathPrefix) && request->method() == EVHTTP_REQ_GET) {
+    Probe(std::move(request));
+  } else {
+    m_replies.Reply(std::move(request), kHttpNotFound, NodeHeaders(kOutcomeNotRun, ""));
+  }
+}
+
+void ServingProxy::IssueKey(std::unique_ptr<DownstreamRequest> request) {
+  if (m_draining) {
+    RefuseAtOnce(std::move(request), kReasonDraining);
+    return;
+  }
+  HeaderList headers = NodeHeaders(kOutcomeAnswered, RequestIdOf(*request));
+  SetHeader(headers, kOrderKeyHeader, m_orders.IssueKey());
+  m_metrics.GetCounter("order_keys_issued_total").Add();
+  m_replies.Reply(std::move(request), kHttpOk, headers);
+}
+
+void ServingProxy::Fence(std::unique_ptr<DownstreamRequest> request) {
+  std::string_view outcome =
+      m_orders.Fence(KeyOf(*request), [this](uint64_t serial) { return Withdraw(serial); });
+  m_metrics.GetCounter("order_fences_total", "outcome=\"" + std::string(outcome) + "\"").Add();
+  HeaderList headers = NodeHeaders(outcome, RequestIdOf(*request));
+  m_replies.Reply(std::move(request), kHttpOk, headers);
+}
+
+// Takes an order that still waits out of the queue.
+bool ServingProxy::Withdraw(uint64_t serial) {
+  auto it = m_by_serial.find(serial);
+  if (it == m_by_serial.end() || it->second->phase != Call::Phase::kQueued) return false;
+  Call& call = *it->second;
+  Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+  Refuse(call, kDrainRetryAfterMs, kReasonFenced);
+  return true;
+}
+
+// The answer counts the bytes written, so that the entry node can tell an answer that is lost on a
+// silent connection from one that is not ready.
+void ServingProxy::Probe(std::unique_ptr<DownstreamRequest> request) {
+  std::string id(request->path().substr(kProbePathPrefix.size()));
+  auto it = m_by_request_id.find(id);
+  if (it == m_by_request_id.end()) {
+    m_replies.Reply(std::move(request), kHttpNotFound, NodeHeaders(kOutcomeUnknown, ""));
+    return;
+  }
+  std::string body = std::to_string(it->second->downstream->written_bytes());
+  m_replies.Reply(std::move(request), kHttpOk, NodeHeaders(kOutcomeRunning, ""), body);
+}
+
+void ServingProxy::OnOrder(std::unique_ptr<DownstreamRequest> request, const WorkTag& work) {
+  auto serial = m_orders.Arrive(KeyOf(*request), m_draining);
+  if (serial) {
+    Admit(std::move(request), work, *serial);
+    return;
+  }
+  OrderAnswer& answer = serial.error();
+  std::string outcome = *FindHeader(answer.headers, kOutcomeHeader);
+  for (auto& [name, value] : NodeHeaders(outcome, RequestIdOf(*request))) {
+    SetHeader(answer.headers, name, value);
+  }
+  m_metrics.GetCounter("order_repeats_total", "outcome=\"" + outcome + "\"").Add();
+  m_replies.Reply(std::move(request), answer.status, answer.headers, answer.body);
+}
+
+}  // namespace guavatrail
