--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -33,8 +33,6 @@
   void FinishAnswer();
   // Ends the connection in the middle of an answer; `reset` tells the sender so by a reset.
   void Break(bool reset);
-  // The request goes away without an interest in what is still unsent.
-  void Forget() { m_request = nullptr; }
   // The answer that begins has this many bytes; a large one is paced.
   void ExpectAnswerBytes(uint64_t bytes);
 
--- a/test/platform/mesh_node_test.cc
+++ b/test/platform/mesh_node_test.cc
@@ -232,6 +232,15 @@
   }
 }
 
+// Guards against a drain that is accepted and undone by the next heartbeat.
+TEST_F(MeshNodeTest, ADrainedServerGetsNoNewWork) {
+  StartPair();
+  Ask(m_serving->settings.listen.admin_port, "POST", "/v1/drain");
+  Report(*m_serving, "i-1");
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+}
+
 TEST_F(MeshNodeTest, ALapsedEntryIsWrittenAgain) {
   StartPair();
   m_store.Remove(platform::kEndpointKind, "node-2");
