--- a/test/error/downstream_request_survives_odd_callers_test.cc
+++ b/test/error/downstream_request_survives_odd_callers_test.cc
@@ -73,30 +73,31 @@
   FakeServer server(m_loop,
                     [&](FakeConnection& c, const std::string&) { c.Send(Answer(200, "")); });
   RelayProxy proxy(m_loop, server.port());
-  for (const std::string& request : std::vector<std::string>{
-           std::string("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n") +
-               "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
-           "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
-           "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab",
-           "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding : chunked\r\n\r\n"
-           "0\r\n\r\n",
-           "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\nab",
-           "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
-           "Transfer-Encoding: identity\r\n\r\n0\r\n\r\n",
-           "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\na",
-           "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1, 1\r\n\r\na",
-           "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\na\r\n0\r\n\r\n",
-           "GET /1 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
-           "GET /1 HTTP/1.1\r\n\r\n",
-           "GET /1 HTTP/1.1\nHost: a\r\n\r\n",
-           "GET /1 HTTP/1.1\r\nHost: a\nA: b\r\n\r\n",
-           "GET /1 HTTP/1.1\r\nHost: a\r\nA: b\r\n c\r\n\r\n",
-           "GET /1 HTTP/1.1\r\nHost: a\r\nA: b\rc\r\n\r\n",
-           "GET /1 HTTP/1.1\r\nHost: a\r\nA: b" + std::string(1, '\0') + "c\r\n\r\n",
-           "GET /1 HTTP/1.1\r\nHost: a\r\n: b\r\n\r\n",
-           "GET  /1 HTTP/1.1\r\nHost: a\r\n\r\n",
-           "GET /1 /2 HTTP/1.1\r\nHost: a\r\n\r\n",
-           "GET /1 HTTP/2.0\r\nHost: a\r\n\r\n"}) {
+  const std::string get = "GET /1 HTTP/1.1\r\nHost: a\r\n";
+  const std::string post = "POST /1 HTTP/1.1\r\nHost: a\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::vector<std::string> requests = {
+      post + "Content-Length: 1\r\n" + chunked + "\r\n1\r\na\r\n0\r\n\r\n",
+      post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      post + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+      post + "Content-Length: 3\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+      post + "Transfer-Encoding: gzip\r\n\r\nab",
+      post + chunked + "Transfer-Encoding: identity\r\n\r\n0\r\n\r\n",
+      post + "Content-Length: +1\r\n\r\na",
+      post + "Content-Length: 1, 1\r\n\r\na",
+      post + chunked + "\r\nzz\r\na\r\n0\r\n\r\n",
+      get + "Host: b\r\n\r\n",
+      "GET /1 HTTP/1.1\r\n\r\n",
+      "GET /1 HTTP/1.1\nHost: a\r\n\r\n",
+      "GET /1 HTTP/1.1\r\nHost: a\nA: b\r\n\r\n",
+      get + "A: b\r\n c\r\n\r\n",
+      get + "A: b\rc\r\n\r\n",
+      get + "A: b" + std::string(1, '\0') + "c\r\n\r\n",
+      get + ": b\r\n\r\n",
+      "GET  /1 HTTP/1.1\r\nHost: a\r\n\r\n",
+      "GET /1 /2 HTTP/1.1\r\nHost: a\r\n\r\n",
+      "GET /1 HTTP/2.0\r\nHost: a\r\n\r\n"};
+  for (const std::string& request : requests) {
     FakeClient client(m_loop, proxy.port());
     client.Send(request);
     EXPECT_TRUE(RunUntil(m_loop, [&] { return client.closed_by_peer(); })) << request;
