Keep one table of reason phrases

downstream_connection and downstream_request each had one; ReasonOf in http_headers serves both. The phrases sent stay as they were.

--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -35,21 +35,6 @@
   return kHttpBadRequest;
 }
 
-std::string_view ShortReason(int status) {
-  switch (status) {
-    case kHttpRequestTimeout:
-      return "Request Timeout";
-    case kHttpContentTooLarge:
-      return "Content Too Large";
-    case kHttpHeadersTooLarge:
-      return "Request Header Fields Too Large";
-    case kHttpNotImplemented:
-      return "Not Implemented";
-    default:
-      return "Bad Request";
-  }
-}
-
 void SetNoDelay(evutil_socket_t fd) {
   // An answer of several writes would wait for the acknowledgement of the first one.
   int on = 1;
@@ -210,7 +195,7 @@
 void DownstreamConnection::Refuse(int status) {
   evbuffer_add_printf(
       output(), "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n%s: %s\r\n\r\n",
-      status, std::string(ShortReason(status)).c_str(), kOutcomeHeader, kOutcomeNotRun);
+      status, std::string(ReasonOf(status)).c_str(), kOutcomeHeader, kOutcomeNotRun);
   LOG_EVERY_N(WARNING, 100) << "event=request_unreadable status=" << status
                             << " error=" << ToString(m_reader.error());
   Linger();
--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -23,37 +23,6 @@
 // its sender tries again only after a second.
 constexpr int kBacklog = 1024;
 
-std::string_view ReasonOf(int status) {
-  switch (status) {
-    case kHttpOk:
-      return "OK";
-    case kHttpBadRequest:
-      return "Bad Request";
-    case kHttpNotFound:
-      return "Not Found";
-    case kHttpRequestTimeout:
-      return "Request Timeout";
-    case kHttpConflict:
-      return "Conflict";
-    case kHttpGone:
-      return "Gone";
-    case kHttpPreconditionRequired:
-      return "Precondition Required";
-    case kHttpTooManyRequests:
-      return "Too Many Requests";
-    case kHttpInternalError:
-      return "Internal Server Error";
-    case kHttpBadGateway:
-      return "Bad Gateway";
-    case kHttpServiceUnavailable:
-      return "Service Unavailable";
-    case kHttpGatewayTimeout:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
-}
-
 std::string_view AuthorityOf(std::string_view target) {
   size_t scheme = target.find("://");
   if (scheme == std::string_view::npos || target.front() == '/') return {};
--- a/src/http_headers.cc
+++ b/src/http_headers.cc
@@ -123,4 +123,41 @@
   return status >= kHttpOk && status != kNoContent && status != kNotModified;
 }
 
+std::string_view ReasonOf(int status) {
+  switch (status) {
+    case kHttpOk:
+      return "OK";
+    case kHttpBadRequest:
+      return "Bad Request";
+    case kHttpNotFound:
+      return "Not Found";
+    case kHttpRequestTimeout:
+      return "Request Timeout";
+    case kHttpConflict:
+      return "Conflict";
+    case kHttpGone:
+      return "Gone";
+    case kHttpContentTooLarge:
+      return "Content Too Large";
+    case kHttpPreconditionRequired:
+      return "Precondition Required";
+    case kHttpTooManyRequests:
+      return "Too Many Requests";
+    case kHttpHeadersTooLarge:
+      return "Request Header Fields Too Large";
+    case kHttpInternalError:
+      return "Internal Server Error";
+    case kHttpNotImplemented:
+      return "Not Implemented";
+    case kHttpBadGateway:
+      return "Bad Gateway";
+    case kHttpServiceUnavailable:
+      return "Service Unavailable";
+    case kHttpGatewayTimeout:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
 }  // namespace guavatrail
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -88,6 +88,9 @@
   kHttpGatewayTimeout = 504,
 };
 
+// The reason phrase of a status that nodes give; "Status" for any other.
+std::string_view ReasonOf(int status);
+
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
 // Header names are compared without regard to case.
