Keep a living server in use for the first part of a planned stop

Ruled out: marking the node as draining in the store, which costs two writes and an event at every node for each stop and does not bring the server back sooner.

Entry nodes avoid a node that stops, or has no server yet, for 1 s in place of 5 s.

--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -53,6 +53,8 @@
 inline constexpr char kOutcomeRunning[] = "running";
 
 inline constexpr char kReasonDraining[] = "draining";
+// The node is about to end; its server stays.
+inline constexpr char kReasonStopping[] = "stopping";
 inline constexpr char kReasonOverload[] = "overload";
 inline constexpr char kReasonFenced[] = "fenced";
 inline constexpr char kReasonUnreachable[] = "unreachable";
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -7,7 +7,17 @@
 
 namespace {
 
+// For this time the news that a server has left may be missing from the endpoint list.
 constexpr int64_t kDrainAvoidMs = 5'000;
+// A node that restarts, or whose server does, may take work again at any moment.
+constexpr int64_t kAbsentAvoidMs = 1'000;
+
+// How long a node is left alone after it refused for `reason`; zero: as long as it asks for.
+int64_t AvoidMsFor(std::string_view reason) {
+  if (reason == kReasonDraining || reason == kReasonWrongService) return kDrainAvoidMs;
+  if (reason == kReasonStopping || reason == kReasonNoServer) return kAbsentAvoidMs;
+  return 0;
+}
 
 bool IsLive(const Endpoint& endpoint) {
   bool is_member = endpoint.state == MemberState::kAlive || endpoint.state == MemberState::kSuspect;
@@ -127,12 +137,8 @@
   const std::string* outcome = FindHeader(headers, kOutcomeHeader);
   if (outcome == nullptr || *outcome != kOutcomeNotRun) return;
   const std::string* reason = FindHeader(headers, kReasonHeader);
-  bool is_leaving =
-      reason != nullptr &&
-      (*reason == kReasonDraining || *reason == kReasonNoServer || *reason == kReasonWrongService);
-  if (is_leaving) {
-    // A refusal may be known before the membership news that the node is leaving.
-    m_tracker.Refused(node, kDrainAvoidMs, now_us);
+  if (int64_t avoid_ms = reason == nullptr ? 0 : AvoidMsFor(*reason); avoid_ms > 0) {
+    m_tracker.Refused(node, avoid_ms, now_us);
     return;
   }
   int64_t retry_after_ms = NumberIn(headers, kRetryAfterMsHeader);
