Take late answers with the configuration, and read large ones while they arrive

The first and third test of LateConfigAnswersCount fail on the code before (nothing adopted; a trickling answer given up).

--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -21,10 +21,12 @@
 // Nodes with at least this share of the fastest link of their data centre may watch: the store
 // sends whole configurations, and followers that start need them too.
 constexpr double kWatcherLinkShare = 0.5;
-// A question waits at the source for a change for this time; a source that says nothing for that
-// and the margin is taken as gone.
+// A question waits at the source for a change for this time; when nothing has come for that and the
+// margin, another source is asked.
 constexpr std::chrono::milliseconds kWait{500};
 constexpr std::chrono::milliseconds kMargin{400};
+// An overdue answer is still of use: on a full link it is late, not lost.
+constexpr std::chrono::milliseconds kLateTime{2'000};
 // How often a node that follows the platform looks whether it should.
 constexpr std::chrono::milliseconds kRoleCheck{1'000};
 // Between two questions that got no new table.
@@ -50,6 +52,7 @@
       m_questions(metrics.GetCounter("config_questions_total")),
       m_failures(metrics.GetCounter("config_question_failures_total")),
       m_timer(loop, [this] { Step(); }),
+      m_overdue_timer(loop, [this] { OnOverdue(); }),
       m_deferred(loop) {}
 
 void ConfigRelay::Start() {
@@ -61,7 +64,9 @@
 void ConfigRelay::Stop() {
   m_is_running = false;
   m_timer.Cancel();
-  m_query.reset();
+  m_overdue_timer.Cancel();
+  m_open.clear();
+  m_current = 0;
 }
 
 void ConfigRelay::SetEndpoints(std::shared_ptr<const EndpointList> endpoints) {
@@ -97,7 +102,7 @@
 void ConfigRelay::Confirm() { m_confirmed_us = EventLoop::NowUs(); }
 
 void ConfigRelay::Step() {
-  if (!m_is_running || m_query != nullptr) return;
+  if (!m_is_running || m_current != 0) return;
   ConfigSource source = version() == 0 ? FromPlatform{} : m_policy.SourceAt(EventLoop::NowUs());
   if (source != m_source) {
     LOG(INFO) << "event=config_source source=" << Describe(source)
@@ -123,17 +128,49 @@
   m_questions.Add();
   UpstreamRequest request{.method = EVHTTP_REQ_GET, .uri = kConfigPath};
   request.headers = {{kVersionHeader, std::to_string(version())}};
-  m_query = std::make_unique<HttpQuery>(
-      m_loop, m_peers.PoolOf(*endpoint), std::move(request), kWait + kMargin,
-      [this, node](const std::optional<HttpReply>& reply) { OnReply(node, reply); },
+  uint64_t number = m_next_question++;
+  Question& question = m_open[number];
+  question = {node, version(), nullptr};
+  m_current = number;
+  m_overdue_timer.Start(kWait + kMargin);
+  question.query = std::make_unique<HttpQuery>(
+      m_loop, m_peers.PoolOf(*endpoint), std::move(request), kWait + kMargin + kLateTime,
+      [this, number](const std::optional<HttpReply>& reply) { OnReply(number, reply); },
       kMaxTableBytes);
 }
 
-void ConfigRelay::OnReply(const std::string& node, const std::optional<HttpReply>& reply) {
+// The next source is asked; the question stays open.
+void ConfigRelay::OnOverdue() {
+  if (m_current == 0) return;
+  const std::string& node = m_open.at(m_current).node;
+  m_failures.Add();
+  LOG(WARNING) << "event=config_source_overdue source=" << node << " version=" << version();
+  m_policy.Failed(node, EventLoop::NowUs());
+  m_current = 0;
+  m_timer.Start(kPause);
+}
+
+void ConfigRelay::OnReply(uint64_t number, const std::optional<HttpReply>& reply) {
   // The query is in its own callback.
-  m_deferred.Post([this] { m_query.reset(); });
-  int64_t now_us = EventLoop::NowUs();
+  m_deferred.Post([this, number] { m_open.erase(number); });
+  const Question& question = m_open.at(number);
+  bool is_late = number != m_current;
+  // The source has been given up for this question already.
+  if (is_late && !reply) return;
+  bool is_answer = TakeReply(question.node, question.known, reply);
+  if (is_late) {
+    LOG(INFO) << "event=config_answer_late source=" << question.node << " usable=" << is_answer;
+    return;
+  }
+  m_current = 0;
+  m_overdue_timer.Cancel();
   m_timer.Start(kPause);
+}
+
+// Whether it was an answer; a table that it holds is put in force.
+bool ConfigRelay::TakeReply(const std::string& node, uint64_t known,
+                            const std::optional<HttpReply>& reply) {
+  int64_t now_us = EventLoop::NowUs();
   bool is_answer = reply && (reply->status == kHttpOk || reply->status == kHttpNotModified) &&
                    FindHeader(reply->headers, kAgeHeader) != nullptr;
   if (!is_answer) {
@@ -141,19 +178,24 @@
     LOG(WARNING) << "event=config_source_failed source=" << node
                  << " status=" << (reply ? reply->status : 0);
     m_policy.Failed(node, now_us);
-    return;
+    return false;
   }
   int64_t age_us = NumberIn(reply->headers, kAgeHeader) * kUsPerMs;
   m_policy.Answered(node, age_us, now_us);
   m_confirmed_us = std::max(m_confirmed_us, now_us - age_us);
-  if (reply->status != kHttpOk) return;
+  auto answer_version = static_cast<uint64_t>(NumberIn(reply->headers, kVersionHeader));
+  if (reply->status != kHttpOk || answer_version <= version()) return true;
+  // Another answer was faster; the next question starts from its table.
+  bool is_change = FindHeader(reply->headers, kChangeHeader) != nullptr;
+  if (is_change && known != version()) return true;
   std::shared_ptr<const ConfigTable> table = TableIn(*reply);
   if (table == nullptr) {
     m_failures.Add();
     m_policy.Failed(node, now_us);
-    return;
+    return false;
   }
   if (table->version() > version()) m_hooks.adopt(std::move(table));
+  return true;
 }
 
 // The table that an answer holds or leads to; null when it cannot be had.
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -51,7 +51,9 @@
 
   void Step();
   void Ask(const std::string& node);
-  void OnReply(const std::string& node, const std::optional<HttpReply>& reply);
+  void OnOverdue();
+  void OnReply(uint64_t number, const std::optional<HttpReply>& reply);
+  bool TakeReply(const std::string& node, uint64_t known, const std::optional<HttpReply>& reply);
   void AnswerNow(std::unique_ptr<DownstreamRequest> request, uint64_t known);
   void EncodeOnce();
   const std::string* ChangeFrom(uint64_t known);
@@ -77,13 +79,22 @@
   int64_t m_confirmed_us = 0;
   bool m_is_running = false;
   ConfigSource m_source = FromPlatform{};
-  std::unique_ptr<HttpQuery> m_query;
+  // Questions to other nodes that may still be answered.
+  struct Question {
+    std::string node;
+    uint64_t known = 0;  // The version that the answer's change starts from.
+    std::unique_ptr<HttpQuery> query;
+  };
+  std::map<uint64_t, Question> m_open;
+  uint64_t m_next_question = 1;
+  uint64_t m_current = 0;  // The question that is not overdue yet; 0: none.
   std::map<uint64_t, Waiting> m_waiting;
   uint64_t m_next_waiting = 1;
   PendingReplies m_replies;
   Counter& m_questions;
   Counter& m_failures;
   Timer m_timer;
+  Timer m_overdue_timer;
   DeferredQueue m_deferred;
 };
 
--- a/src/config_source.cc
+++ b/src/config_source.cc
@@ -28,7 +28,11 @@
 }
 
 void ConfigSourcePolicy::Answered(std::string_view node, int64_t age_us, int64_t now_us) {
-  if (age_us > m_options.max_age_us) Failed(node, now_us);
+  if (age_us > m_options.max_age_us) {
+    Failed(node, now_us);
+  } else if (auto it = m_avoided_until_us.find(node); it != m_avoided_until_us.end()) {
+    m_avoided_until_us.erase(it);
+  }
 }
 
 void ConfigSourcePolicy::Failed(std::string_view node, int64_t now_us) {
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -45,7 +45,7 @@
   // Commands.
   // All nodes that may watch, this one perhaps among them.
   void SetCandidates(const std::vector<Candidate>& candidates);
-  // A source answered with a confirmation of this age; too old a one is a failure.
+  // A source answered with a confirmation of this age, in time or late; too old a one is a failure.
   void Answered(std::string_view node, int64_t age_us, int64_t now_us);
   void Failed(std::string_view node, int64_t now_us);
 
--- a/src/http_query.cc
+++ b/src/http_query.cc
@@ -10,7 +10,9 @@
                      std::chrono::milliseconds timeout, Handler handler, size_t max_body_bytes)
     : m_max_body_bytes(max_body_bytes),
       m_handler(std::make_shared<Handler>(std::move(handler))),
-      m_timer(loop, [this] { Finish(false); }) {
+      m_timeout(timeout),
+      m_timer(loop, [this] { Finish(false); }),
+      m_end_timer(loop, [this] { Finish(false); }) {
   m_exchange =
       pool.Send(std::move(request),
                 {.head =
@@ -21,6 +23,7 @@
                  .data = [this](evbuffer* data) { OnData(data); },
                  .done = [this](ExchangeEnd end) { Finish(end == ExchangeEnd::kComplete); }});
   m_timer.Start(timeout);
+  m_end_timer.Start(kMaxTimeouts * timeout);
 }
 
 void HttpQuery::OnData(evbuffer* data) {
@@ -29,10 +32,12 @@
   m_reply.body.resize(old + length);
   evbuffer_remove(data, m_reply.body.data() + old, length);
   evbuffer_drain(data, evbuffer_get_length(data));
+  m_timer.Start(m_timeout);
 }
 
 void HttpQuery::Finish(bool complete) {
   m_timer.Cancel();
+  m_end_timer.Cancel();
   m_exchange.reset();
   // The handler may destroy this object.
   std::shared_ptr<Handler> handler = std::move(m_handler);
--- a/test/support/fake_server.cc
+++ b/test/support/fake_server.cc
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <optional>
@@ -147,6 +148,12 @@
   m_port = PortOf(evconnlistener_get_fd(m_listener));
 }
 
+FakeConnection* FakeServer::Find(int number) {
+  auto it = std::find_if(m_connections.begin(), m_connections.end(),
+                         [number](const auto& c) { return c->number() == number; });
+  return it == m_connections.end() ? nullptr : it->get();
+}
+
 FakeServer::~FakeServer() { evconnlistener_free(m_listener); }
 
 void FakeServer::OnAccept(evconnlistener*, int fd, sockaddr*, int, void* arg) {
--- a/test/support/fake_server.h
+++ b/test/support/fake_server.h
@@ -59,6 +59,8 @@
   int requests() const { return m_requests; }
   FakeConnection& last_connection() { return *m_connections.back(); }
   std::list<std::unique_ptr<FakeConnection>>& all() { return m_connections; }
+  // Null when that connection is gone.
+  FakeConnection* Find(int number);
 
  private:
   static void OnAccept(evconnlistener*, int fd, sockaddr*, int, void* arg);
