Hedge only with a free slot, within attempts and the retry budget

A hedge is now an offer, takes a token of the retry budget, needs a second attempt to be allowed and is not made for large answers.

--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -301,12 +301,18 @@
 }
 
 void EntryProxy::Hedge(EntryCall& call) {
-  if (call.is_answered || call.tries_started != 1) return;
+  if (call.is_answered || call.tries_started != 1 || call.attempts < 2) return;
+  // A large answer sent twice would take from the links what others wait for.
+  if (m_answer_sizes.TypicalBytes(call.work.name) > LinkPacer::kLargeBytes) return;
   int64_t now_us = EventLoop::NowUs();
   const Endpoint* server = m_picker.Pick(call.service, call.tried, false, false, now_us);
   if (server == nullptr || !m_picker.TakeHedge(call.service, now_us)) return;
   m_metrics.GetCounter("hedges_total", "kind=\"" + call.work.name + "\"").Add();
-  StartTry(call, server, false);
+  LOG(INFO) << "event=hedge id=" << call.request_id << " kind=" << call.work.name
+            << " first_node=" << call.last_node << " node=" << server->node
+            << " ms=" << (now_us - call.downstream->arrival_us()) / kUsPerMs;
+  // An offer: a hedge takes a free slot, and never a place in a queue.
+  StartTry(call, server, true);
 }
 
 void EntryProxy::OnHead(EntryCall& call, EntryTry& t, const AnswerHead& head) {
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -182,6 +182,8 @@
 bool ServerPicker::TakeHedge(std::string_view service, int64_t now_us) {
   Service& state = ServiceOf(service);
   if (!MayHedge(state.hedges, IsSpilling(state.placement), now_us)) return false;
+  // A hedge is one more request at the service, as a retry is.
+  if (!TakeRetry(service)) return false;
   Hedged(state.hedges);
   return true;
 }
