Take large answers only where the link can send them in time

Large answers took 90% of the link, and requests were taken while the link was behind by up to half of their time limit, not counting answers that were still being made. Ruled out: slots and queues (queue_ms 0 in the serving lines of these checks).

Change: LinkBacklog::RefusalWaitMs (pattern: more large answers than a thin link carries) counts answers being made, and takes a request if half of the time to its objective is enough. Large answers leave 2.8 Mbit/s of the link, between a tenth and a half of it, to everything else.

--- a/src/link_pacer.cc
+++ b/src/link_pacer.cc
@@ -3,22 +3,35 @@
 #include <event2/bufferevent.h>
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace guavatrail {
 
 namespace {
 
 // Links of this rate and more are not the bound of a node.
 constexpr double kFastMbps = 500.0;
-// What is left over carries short answers, requests and control.
-constexpr double kLargeShare = 0.9;
+// Part of the link that large answers leave to short answers, requests, control and what passes
+// through this node to its own callers: a link may carry both directions at one rate.
+constexpr double kReservedMbps = 2.8;
+constexpr double kReservedShare = 0.1;  // At least.
+constexpr double kMaxReservedShare = 0.5;
+// An offer looks for another node when the link is behind by more than this.
+constexpr int64_t kOfferWaitMs = 200;
+// Share of the time left that the link may take; the rest is for the work and for the way.
+constexpr double kLinkShareOfTime = 0.5;
 constexpr double kBytesPerMbit = 125'000.0;
 constexpr int kTicksPerSecond = 100;
 constexpr int64_t kMsPerSecond = 1'000;
 
 bool IsPaced(double link_mbps) { return link_mbps > 0 && link_mbps < kFastMbps; }
 
+// Bytes a second for large answers; 0: not paced.
 int64_t RateOf(double link_mbps) {
-  return IsPaced(link_mbps) ? static_cast<int64_t>(link_mbps * kBytesPerMbit * kLargeShare) : 0;
+  if (!IsPaced(link_mbps)) return 0;
+  double reserved_mbps =
+      std::clamp(kReservedMbps, kReservedShare * link_mbps, kMaxReservedShare * link_mbps);
+  return static_cast<int64_t>((link_mbps - reserved_mbps) * kBytesPerMbit);
 }
 
 }  // namespace
@@ -29,6 +42,14 @@
 
 int64_t LinkBacklog::WaitMs() const { return TimeMs(0); }
 
+std::optional<int64_t> LinkBacklog::RefusalWaitMs(const LargeRequest& request) const {
+  int64_t wait_ms = TimeMs(request.promised_bytes);
+  int64_t total_ms = TimeMs(request.promised_bytes + request.bytes);
+  auto bound_ms = static_cast<int64_t>(kLinkShareOfTime * static_cast<double>(request.left_ms));
+  bool is_behind = total_ms > bound_ms || (request.is_offer && wait_ms > kOfferWaitMs);
+  return is_behind ? std::optional<int64_t>(std::max<int64_t>(1, wait_ms)) : std::nullopt;
+}
+
 LinkPacer::LinkPacer(EventLoop& loop, double link_mbps) : m_backlog(RateOf(link_mbps)) {
   if (!IsPaced(link_mbps)) return;
   const timeval tick = {.tv_sec = 0, .tv_usec = 1'000'000 / kTicksPerSecond};
--- a/src/link_pacer.h
+++ b/src/link_pacer.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 #include "event_loop.h"
 
@@ -13,7 +14,17 @@
 
 namespace guavatrail {
 
-// What large answers hold of a link. Pure.
+// A request whose answer will be large.
+struct LargeRequest {
+  int64_t bytes = 0;  // Typical size of its answer.
+  // Typical size of the answers that are still being made for requests taken earlier.
+  int64_t promised_bytes = 0;
+  int64_t left_ms = 0;    // Until its objective, or its deadline if it has none.
+  bool is_offer = false;  // Another node may be asked in place of this one.
+};
+
+// What large answers hold of a link. Pure. Answers the pattern of more large answers than a thin
+// link can carry: what is taken has its answer in time, the rest is refused at once.
 class LinkBacklog {
  public:
   // Bytes a second that large answers may take; 0: no bound.
@@ -28,6 +39,8 @@
   int64_t WaitMs() const;
   // Time until another answer of `bytes` would have been sent.
   int64_t TimeMs(int64_t bytes) const;
+  // Empty when the answer can be sent in time; else how far the link is behind, at least 1 ms.
+  std::optional<int64_t> RefusalWaitMs(const LargeRequest& request) const;
 
  private:
   int64_t m_rate;
--- a/src/serving_call.h
+++ b/src/serving_call.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "deadline.h"
 #include "serving_proxy.h"
 #include "stream_relay.h"
 
@@ -56,6 +57,13 @@
   return id == nullptr ? "" : *id;
 }
 
+// Monotonic microseconds; 0 when the sender has named no objective.
+inline int64_t ObjectiveOf(const DownstreamRequest& request) {
+  const std::string* text = FindHeader(request.headers(), kObjectiveHeader);
+  std::optional<int64_t> ms = text == nullptr ? std::nullopt : ParseDeadlineMs(*text);
+  return ms ? request.arrival_us() + *ms * 1000 : 0;
+}
+
 inline std::string KeyOf(const DownstreamRequest& request) {
   const std::string* key = FindHeader(request.headers(), kOrderKeyHeader);
   return key == nullptr ? "" : *key;
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -47,13 +47,6 @@
   return request.arrival_us() + ms.value_or(kDefaultDeadlineMs) * kUsPerMs;
 }
 
-// 0 when the sender has named none.
-int64_t ObjectiveOf(const DownstreamRequest& request) {
-  const std::string* text = FindHeader(request.headers(), kObjectiveHeader);
-  std::optional<int64_t> ms = text == nullptr ? std::nullopt : ParseDeadlineMs(*text);
-  return ms ? request.arrival_us() + *ms * kUsPerMs : 0;
-}
-
 }  // namespace
 
 ServingProxy::ServingProxy(EventLoop& loop, const Settings& settings, uint64_t incarnation,
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -82,6 +82,7 @@
 
   void Admit(std::unique_ptr<DownstreamRequest> request, const WorkTag& work, uint64_t serial);
   std::optional<int64_t> LinkWaitMs(const Call& call, bool is_offer) const;
+  int64_t PromisedBytes(const Call& call) const;
   void Apply(const AdmissionChanges& changes);
   void Run(Call& call);
   void Send(Call& call, std::chrono::milliseconds max_idle);
--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr int64_t kUsPerMs = 1000;
-// A request with a large answer looks for another node when the link is behind by more than this.
-constexpr int64_t kOfferedLinkWaitMs = 100;
 
 }  // namespace
 
@@ -62,11 +60,24 @@
   if (m_pacer == nullptr) return std::nullopt;
   int64_t bytes = m_answer_sizes.TypicalBytes(call.work.name);
   if (bytes <= LinkPacer::kLargeBytes) return std::nullopt;
-  int64_t wait_ms = m_pacer->backlog().WaitMs();
-  int64_t left_ms = (call.deadline_us - EventLoop::NowUs()) / kUsPerMs;
-  bool is_behind =
-      is_offer ? wait_ms > kOfferedLinkWaitMs : m_pacer->backlog().TimeMs(bytes) > left_ms / 2;
-  return is_behind ? std::optional<int64_t>(std::max<int64_t>(1, wait_ms)) : std::nullopt;
+  int64_t now_us = EventLoop::NowUs();
+  int64_t objective_us = ObjectiveOf(*call.downstream);
+  int64_t end_us = objective_us > now_us ? objective_us : call.deadline_us;
+  return m_pacer->backlog().RefusalWaitMs({.bytes = bytes,
+                                           .promised_bytes = PromisedBytes(call),
+                                           .left_ms = (end_us - now_us) / kUsPerMs,
+                                           .is_offer = is_offer});
+}
+
+// Of large answers that the server is still making, or will make, for requests taken before `call`.
+int64_t ServingProxy::PromisedBytes(const Call& call) const {
+  int64_t promised = 0;
+  for (const auto& [id, other] : m_calls) {
+    if (id == call.id || other->phase == Call::Phase::kEnded || other->relay.has_begun()) continue;
+    int64_t bytes = m_answer_sizes.TypicalBytes(other->work.name);
+    if (bytes > LinkPacer::kLargeBytes) promised += bytes;
+  }
+  return promised;
 }
 
 HeaderList ServingProxy::ServerHeaders(const Call& call) const {
