Watch the platform from two data centres, and from more in a large fleet

Two watchers are enough for followers to have a second source.

Change: a watcher for each 32 nodes, at least two, in different data centres; nodes without one in their data centre spread over all.

--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr char kVersionHeader[] = "X-Guavatrail-Config-Version";
+// Longest time to wait for a change before the answer, in ms.
+constexpr char kWaitHeader[] = "X-Guavatrail-Config-Wait-Ms";
 // Time since the platform confirmed the configuration, in ms.
 constexpr char kAgeHeader[] = "X-Guavatrail-Config-Age-Ms";
 // The body is a change from the asker's version, and this is the digest of its result.
@@ -127,14 +129,17 @@
   }
   m_questions.Add();
   UpstreamRequest request{.method = EVHTTP_REQ_GET, .uri = kConfigPath};
-  request.headers = {{kVersionHeader, std::to_string(version())}};
+  // A node that has lost its source wants to know at once whether it has missed a change.
+  std::chrono::milliseconds wait = m_has_lost_source ? std::chrono::milliseconds(0) : kWait;
+  request.headers = {{kVersionHeader, std::to_string(version())},
+                     {kWaitHeader, std::to_string(wait.count())}};
   uint64_t number = m_next_question++;
   Question& question = m_open[number];
   question = {node, version(), nullptr};
   m_current = number;
-  m_overdue_timer.Start(kWait + kMargin);
+  m_overdue_timer.Start(wait + kMargin);
   question.query = std::make_unique<HttpQuery>(
-      m_loop, m_peers.PoolOf(*endpoint), std::move(request), kWait + kMargin + kLateTime,
+      m_loop, m_peers.PoolOf(*endpoint), std::move(request), wait + kMargin + kLateTime,
       [this, number](const std::optional<HttpReply>& reply) { OnReply(number, reply); },
       kMaxTableBytes);
 }
@@ -146,6 +151,7 @@
   m_failures.Add();
   LOG(WARNING) << "event=config_source_overdue source=" << node << " version=" << version();
   m_policy.Failed(node, EventLoop::NowUs());
+  m_has_lost_source = true;
   m_current = 0;
   m_timer.Start(kPause);
 }
@@ -163,6 +169,7 @@
     return;
   }
   m_current = 0;
+  m_has_lost_source = !is_answer;
   m_overdue_timer.Cancel();
   m_timer.Start(kPause);
 }
@@ -239,7 +246,9 @@
     AnswerNow(std::move(it->second.request), known);
     Forget(number);
   });
-  waiting.timer->Start(kWait);
+  bool has_wait = FindHeader(waiting.request->headers(), kWaitHeader) != nullptr;
+  std::chrono::milliseconds wait(NumberIn(waiting.request->headers(), kWaitHeader));
+  waiting.timer->Start(has_wait ? std::min(wait, kWait) : kWait);
 }
 
 // Both the end of the wait and the end of the connection may come in one turn of the loop, and each
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -87,7 +87,8 @@
   };
   std::map<uint64_t, Question> m_open;
   uint64_t m_next_question = 1;
-  uint64_t m_current = 0;  // The question that is not overdue yet; 0: none.
+  bool m_has_lost_source = false;  // The last question had no answer in time.
+  uint64_t m_current = 0;          // The question that is not overdue yet; 0: none.
   std::map<uint64_t, Waiting> m_waiting;
   uint64_t m_next_waiting = 1;
   PendingReplies m_replies;
--- a/src/config_source.cc
+++ b/src/config_source.cc
@@ -7,24 +7,34 @@
 
 namespace guavatrail {
 
+namespace {
+
+constexpr size_t kMinWatchers = 2;
+
+}  // namespace
+
 void ConfigSourcePolicy::SetCandidates(const std::vector<Candidate>& candidates) {
-  std::vector<std::string> own =
-      ChooseWatchers(candidates, m_self.data_centre, m_options.watchers_per_data_centre);
-  m_is_watcher = std::find(own.begin(), own.end(), m_self.node) != own.end();
-  m_sources = std::move(own);
-  std::erase(m_sources, m_self.node);
   std::set<std::string> names;
-  for (const Candidate& candidate : candidates) {
-    if (candidate.data_centre != m_self.data_centre) names.insert(candidate.data_centre);
-  }
-  // The nodes of one data centre spread over the others.
-  std::vector<std::string> others = RendezvousTop(
-      "config " + m_self.node, {names.begin(), names.end()}, m_options.foreign_watchers);
-  for (const std::string& data_centre : others) {
+  for (const Candidate& candidate : candidates) names.insert(candidate.data_centre);
+  size_t wanted =
+      (candidates.size() + m_options.nodes_per_watcher - 1) / m_options.nodes_per_watcher;
+  std::vector<std::string> watching =
+      RendezvousTop("config", {names.begin(), names.end()}, std::max(kMinWatchers, wanted));
+  // Nodes without a watcher in their data centre spread over all of them.
+  std::vector<std::string> order =
+      RendezvousTop("config " + m_self.node, watching, watching.size());
+  std::stable_partition(order.begin(), order.end(), [this](const std::string& data_centre) {
+    return data_centre == m_self.data_centre;
+  });
+  m_sources.clear();
+  for (const std::string& data_centre : order) {
+    if (m_sources.size() >= m_options.sources) break;
     for (std::string& node : ChooseWatchers(candidates, data_centre, 1)) {
       m_sources.push_back(std::move(node));
     }
   }
+  m_is_watcher = !m_sources.empty() && m_sources.front() == m_self.node;
+  std::erase(m_sources, m_self.node);
 }
 
 void ConfigSourcePolicy::Answered(std::string_view node, int64_t age_us, int64_t now_us) {
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -22,21 +22,23 @@
 };
 using ConfigSource = std::variant<FromPlatform, FromNode>;
 
-// Each watch of the platform costs, and each change ends them all; so in a data centre one node
-// watches and the others follow it. A node whose watcher has gone silent, or has itself not heard
-// from the platform for a while, turns to the watcher of another data centre, and when that does
-// not help to the platform. Views that differ cost a few calls and do no harm.
+// Each watch of the platform costs, and each change ends them all; so a few nodes in different data
+// centres watch and the others follow the one of their own data centre, or any other if there is
+// none. A node whose watcher has gone silent, or has itself not heard from the platform for a
+// while, turns to another watcher, and when that does not help to the platform. Views that differ
+// cost a few calls and do no harm.
 class ConfigSourcePolicy {
  public:
   struct Options {
-    size_t watchers_per_data_centre = 1;
+    // A node watches for this many; at least two data centres have a watcher, and none has two.
+    size_t nodes_per_watcher = 32;
     // Age of a confirmation by the platform over which a watcher is of no use. Together with the
     // time to ask elsewhere it stays below the two seconds in which a change must be in force.
     int64_t max_age_us = 1'000'000;
     // Time for which a source that failed is left alone.
     int64_t avoid_us = 4'000'000;
-    // Other data centres that are tried before the platform.
-    size_t foreign_watchers = 1;
+    // Watchers that are tried before the platform.
+    size_t sources = 2;
   };
 
   ConfigSourcePolicy(Candidate self, Options options)
