--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -118,9 +118,8 @@
   if (status == kHttpServiceUnavailable) SetRetryAfter(headers, kNoTableRetryAfterMs);
   HideNodeHeaders(headers);
   EchoRequestId(*request, headers);
-  LOG_EVERY_N(INFO, 10) << "event=request_refused id=" << CallerIdOf(*request)
-                        << " path=" << request->path() << " status=" << status
-                        << " reason=" << reason;
+  LOG(INFO) << "event=request_refused id=" << CallerIdOf(*request) << " path=" << request->path()
+            << " status=" << status << " reason=" << reason;
   m_metrics.GetCounter("entry_refused_total", "reason=\"" + std::string(reason) + "\"").Add();
   m_replies.Reply(std::move(request), status, headers);
 }
