--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,3 +7,6 @@
 ctest --test-dir build --output-on-failure -j 8
 python3 test/scenarios/selftest.py
 python3 test/scenarios/run.py --jobs 3 --known-red KNOWN-RED.txt
+python3 test/soak/checks_test.py
+python3 test/soak/explain_failures_test.py
+python3 test/soak/soak.py --seeds 1-3 --seconds 8 --jobs 3
