--- a/src/admission.h
+++ b/src/admission.h
@@ -99,7 +99,10 @@
     int64_t limit_us = 0;   // Objective, or the deadline of a request that is late.
     uint64_t sequence = 0;  // Unique.
     bool is_late = false;
-    auto operator<=>(const Rank&) const = default;
+    bool operator<(const Rank& other) const {
+      return std::tie(below_top, limit_us, sequence) <
+             std::tie(other.below_top, other.limit_us, other.sequence);
+    }
   };
   struct Running {
     bool is_short = true;
