List only the later server of an address that has passed on

Change: of two entries with one address EndpointDirectory lists that of the later server. AnAddressBelongsToTheLaterServer fails before and passes.

--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -1,6 +1,7 @@
 #include "endpoint_directory.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace guavatrail {
@@ -50,9 +51,21 @@
 
 std::shared_ptr<const EndpointList> EndpointDirectory::list() const {
   if (m_list == nullptr) {
+    using Address = std::pair<std::string_view, uint16_t>;
+    std::map<Address, uint64_t> newest;
+    for (const auto& [node, entry] : m_entries) {
+      uint64_t& incarnation = newest[Address(entry.endpoint.ip, entry.endpoint.peer_port)];
+      incarnation = std::max(incarnation, entry.endpoint.incarnation);
+    }
     std::vector<Endpoint> endpoints;
     endpoints.reserve(m_entries.size());
-    for (const auto& [node, entry] : m_entries) endpoints.push_back(entry.endpoint);
+    for (const auto& [node, entry] : m_entries) {
+      const Endpoint& endpoint = entry.endpoint;
+      // The VM is lost for good and its address has passed on.
+      bool is_superseded = !endpoint.ip.empty() &&
+                           endpoint.incarnation < newest[Address(endpoint.ip, endpoint.peer_port)];
+      if (!is_superseded) endpoints.push_back(endpoint);
+    }
     m_list = std::make_shared<const EndpointList>(std::move(endpoints));
   }
   return m_list;
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -13,6 +13,8 @@
 
 namespace guavatrail {
 
+// Of two entries with one address only that of the later server is listed: the VM of the other is
+// gone, and nobody removes its entry.
 // An entry that vanished without its node having said that it leaves may have lapsed while the
 // platform was away, with the server alive. It stays in use for the time that its node needs to
 // write it again.
--- a/test/correctness/endpoint_directory_outlasts_lapses_test.cc
+++ b/test/correctness/endpoint_directory_outlasts_lapses_test.cc
@@ -31,6 +31,26 @@
   EXPECT_EQ(m_directory.list()->FindNode("a"), nullptr);
 }
 
+// Guards against requests that go to a node of another service, because a lost VM's entry stays
+// and its address has passed on.
+TEST_F(EndpointDirectoryOutlastsLapses, AnAddressBelongsToTheLaterServer) {
+  auto at_address = [](const std::string& node, uint64_t incarnation) {
+    Endpoint endpoint = EndpointOf(node);
+    endpoint.ip = "10.1.0.8";
+    endpoint.peer_port = 7620;
+    endpoint.incarnation = incarnation;
+    return endpoint;
+  };
+  Endpoint other = at_address("other", 1);
+  other.ip = "10.1.0.9";
+  m_directory.Put(other);
+  m_directory.Put(at_address("later", 2000));
+  m_directory.Put(at_address("lost", 1000));
+  EXPECT_EQ(m_directory.list()->FindNode("lost"), nullptr);
+  EXPECT_NE(m_directory.list()->FindNode("later"), nullptr);
+  EXPECT_NE(m_directory.list()->FindNode("other"), nullptr);
+}
+
 TEST_F(EndpointDirectoryOutlastsLapses, AnEntryWrittenAgainStays) {
   m_directory.Put(EndpointOf("a"));
   m_directory.Remove("a", 10 * kSecondUs);
