--- a/test/soak/backend.py
+++ b/test/soak/backend.py
@@ -64,7 +64,7 @@
             return False
 
     async def leave(self, says_draining):
-        """A planned end and a new start, as a release makes them."""
+        """A planned end, as a release makes it."""
         self.state = "draining"
         self.beats.cancel()
         acknowledged = await self.report("PUT" if says_draining else "DELETE")
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -35,13 +35,10 @@
     async def run(self):
         while not self.mesh.is_over:
             await asyncio.sleep(self.random.uniform(0.02, 0.2))
-            if self.connection is None:
-                try:
-                    self.connection = await asyncio.wait_for(
-                        asyncio.open_connection(self.node.ip, CALLER), 1)
-                except (OSError, asyncio.TimeoutError):
-                    continue
-            await self.call(*self.choose())
+            try:
+                await self.call(*self.choose())
+            except (OSError, asyncio.TimeoutError):
+                continue  # The node takes no connection now.
 
     def choose(self):
         self.count += 1
@@ -53,6 +50,10 @@
         return "GET", f"/parts/{self.count}?a=b", b""
 
     async def call(self, method, target, body):
+        """Fails when there is no connection and none can be made."""
+        if self.connection is None:
+            self.connection = await asyncio.wait_for(
+                asyncio.open_connection(self.node.ip, CALLER), 1)
         reader, writer = self.connection
         call = Call(f"{self.name}-{self.count}", self.node, self.node.boot, method, target, body,
                     time.monotonic())
--- a/test/soak/explain_failures_test.py
+++ b/test/soak/explain_failures_test.py
@@ -15,7 +15,7 @@
 import urllib.request
 
 from callers import Caller
-from mesh import ADMIN, CALLER, ROOT, Mesh
+from mesh import ADMIN, ROOT, Mesh
 
 BUILD = ROOT / "build"
 NET = 58  # A loopback network that no other test uses.
@@ -77,8 +77,6 @@
     async def order(self):
         """A call whose result is known; its lines are in the logs when it returns."""
         self.caller.count += 1
-        if self.caller.connection is None:
-            self.caller.connection = await asyncio.open_connection(self.caller.node.ip, CALLER)
         await self.caller.call("POST", f"/orders/{self.caller.count}", b"an order")
         await asyncio.sleep(0.3)
         return list(self.calls.values())[-1]
--- a/test/support/call_model.cc
+++ b/test/support/call_model.cc
@@ -108,7 +108,8 @@
     Call call{.id = ++m_next_id, .kind = DrawKind(), .arrival_us = m_now};
     const ModelKind& kind = m_options.kinds[call.kind];
     call.entry = m_random.Below(m_entries.size());
-    call.work_us = static_cast<double>(kind.service_us) * std::max(0.1, Exponential());
+    double drawn = (1 - kind.fixed_share) * std::max(0.1, Exponential());
+    call.work_us = static_cast<double>(kind.service_us) * (kind.fixed_share + drawn);
     if (m_random.Unit() < kind.straggler_share) call.work_us *= kind.straggler_factor;
     ++m_result.kinds[kind.name].sent;
     ++m_result.sent_by_slice[static_cast<size_t>(m_now / kModelSliceUs)];
@@ -144,8 +145,13 @@
 
   void Admit(const Call& call) {
     const ModelKind& kind = m_options.kinds[call.kind];
-    AdmissionRequest request{call.id, kind.importance, kind.is_short,
-                             call.arrival_us + kind.deadline_us, m_now};
+    AdmissionRequest request{.id = call.id,
+                             .importance = kind.importance,
+                             .is_short = kind.is_short,
+                             .deadline_us = call.arrival_us + kind.deadline_us,
+                             .arrival_us = m_now,
+                             .kind = kind.name};
+    if (kind.objective_us > 0) request.objective_us = call.arrival_us + kind.objective_us;
     m_calls[call.id] = call;
     AdmissionDecision decision = guavatrail::Arrive(m_servers[call.server], request, m_now);
     for (const AdmissionRefusal& refusal : decision.evicted) Refuse(refusal);
--- a/test/support/call_model.h
+++ b/test/support/call_model.h
@@ -22,8 +22,10 @@
   bool is_short = true;
   int importance = 1;
   int64_t deadline_us = 500'000;  // From the arrival.
+  int64_t objective_us = 0;       // From the arrival; 0: none.
   // Service times are exponential with this mean, at least a tenth of it.
   int64_t service_us = 5'000;
+  double fixed_share = 0;  // Of the service time, the same for all requests.
   // A share of requests takes `straggler_factor` times as long.
   double straggler_share = 0;
   double straggler_factor = 20;
