Call one function where the same header, hooks and host names were read in several places

PredictedWaitUs adds up the running and queued work only where reserved slots need it: it did so for each arrival and offer.

--- a/src/admin_server.cc
+++ b/src/admin_server.cc
@@ -29,6 +29,15 @@
 
 }  // namespace
 
+AdminHooks MeasureHooks(const Metrics& metrics, const BurnRecorder& burn, std::string node) {
+  AdminHooks hooks;
+  hooks.metrics_text = [&metrics] { return metrics.Text(); };
+  hooks.burn = [&burn, node = std::move(node)] {
+    return nlohmann::json::parse(ToJson(burn.Snapshot(node, EventLoop::NowUs())));
+  };
+  return hooks;
+}
+
 struct AdminServer::Impl {
   AdminHooks hooks;
   struct HttpDeleter {
--- a/src/admin_server.h
+++ b/src/admin_server.h
@@ -8,7 +8,9 @@
 #include <string>
 #include <tl/expected.hpp>
 
+#include "burn.h"
 #include "event_loop.h"
+#include "metrics.h"
 
 namespace guavatrail {
 
@@ -21,6 +23,10 @@
   std::function<void()> start_drain;
 };
 
+// Hooks that tell the metrics and the burn of the node; the others are empty. Both are used as long
+// as the hooks are.
+AdminHooks MeasureHooks(const Metrics& metrics, const BurnRecorder& burn, std::string node);
+
 struct AdminError {
   std::string message;
 };
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -126,21 +126,21 @@
 }
 
 int64_t SlotAdmission::PredictedWaitUs(const AdmissionRequest& request, int64_t now_us) const {
-  Remaining work = RemainingOfRunning(now_us);
   Rank rank = RankOf(request, WouldMiss(ObjectiveOf(request), request, 0, now_us));
+  int64_t shared_us = FreeSlotUs(rank, Slots::kAll, now_us);
+  if (m_long_limit >= m_options.slots) return shared_us;
+  if (!request.is_short) {
+    return std::max(shared_us, FreeSlotUs(rank, Slots::kForLongWork, now_us));
+  }
+  // Long work ahead cannot enter the reserved slots, so short work waits at most for short work.
+  Remaining work = RemainingOfRunning(now_us);
+  int reserved = m_options.slots - m_long_limit - work.stuck_short;
+  if (reserved <= 0) return shared_us;
   for (const auto& [other, entry] : m_queue) {
     if (rank < other) break;
-    (entry.is_short ? work.short_us : work.long_us) +=
-        EstimateOf(entry.kind, entry.is_short).typical_us();
-  }
-  int64_t shared_us = FreeSlotUs(rank, Slots::kAll, now_us);
-  if (request.is_short) {
-    // Long work ahead cannot enter the reserved slots, so short work waits at most for short work.
-    int reserved = m_options.slots - m_long_limit - work.stuck_short;
-    return reserved > 0 ? std::min(shared_us, work.short_us / reserved) : shared_us;
+    if (entry.is_short) work.short_us += EstimateOf(entry.kind, entry.is_short).typical_us();
   }
-  bool is_bound = m_long_limit < m_options.slots;
-  return is_bound ? std::max(shared_us, FreeSlotUs(rank, Slots::kForLongWork, now_us)) : shared_us;
+  return std::min(shared_us, work.short_us / reserved);
 }
 
 // Time until one of `slots` is free for a request of `rank`: each request ahead takes the slot that
--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -146,7 +146,6 @@
 
 // The next source is asked; the question stays open.
 void ConfigRelay::OnOverdue() {
-  if (m_current == 0) return;
   const std::string& node = m_open.at(m_current).node;
   m_failures.Add();
   LOG(WARNING) << "event=config_source_overdue source=" << node << " version=" << version();
--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -8,7 +8,6 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -44,12 +43,8 @@
 
 std::string HostOf(const HttpHead& head) {
   std::string_view authority = AuthorityOf(head.target);
-  const std::string* header = FindHeader(head.headers, "Host");
-  if (authority.empty() && header != nullptr) authority = *header;
-  std::string host(authority.substr(0, authority.find(':')));
-  std::transform(host.begin(), host.end(), host.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return host;
+  if (authority.empty()) authority = TextIn(head.headers, "Host");
+  return LowerCase(authority.substr(0, authority.find(':')));
 }
 
 uint16_t BoundPort(evutil_socket_t fd) {
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -45,8 +45,8 @@
 
 // Whether a refusal came from the backend server, and not from the node beside it.
 bool HasReachedServer(const AnswerHead& head) {
-  const std::string* reason = FindHeader(head.headers, kReasonHeader);
-  return reason != nullptr && (*reason == kReasonServerFull || *reason == kReasonWrongServer);
+  std::string_view reason = TextIn(head.headers, kReasonHeader);
+  return reason == kReasonServerFull || reason == kReasonWrongServer;
 }
 
 std::string HexPrefix(std::string_view node, uint64_t random) {
@@ -325,13 +325,12 @@
     if (retry_after_ms > 0) call.retry_after_ms = retry_after_ms;
     call.status = head.status;
     t.reached_server = HasReachedServer(head);
-    const std::string* why = FindHeader(head.headers, kReasonHeader);
-    call.last_reason = why == nullptr ? "refused" : *why;
+    std::string_view reason = TextIn(head.headers, kReasonHeader);
+    call.last_reason = reason.empty() ? "refused" : reason;
     int64_t wait_ms = NumberIn(head.headers, kWaitMsHeader);
     if (wait_ms > 0) call.busy.emplace_back(wait_ms, t.node);
     // A node that is not draining may issue another key.
-    const std::string* reason = FindHeader(head.headers, kReasonHeader);
-    bool is_draining = reason != nullptr && *reason == kReasonDraining;
+    bool is_draining = reason == kReasonDraining;
     if (call.work.mode == RunMode::kKeyed && !is_draining) call.tried.erase(t.node);
     return;
   }
--- a/src/entry_proxy_answers.cc
+++ b/src/entry_proxy_answers.cc
@@ -17,9 +17,7 @@
 }
 
 std::string EntryProxy::CallerIdOf(const DownstreamRequest& request) const {
-  if (m_protocol.request_id_header.empty()) return "";
-  const std::string* id = FindHeader(request.headers(), m_protocol.request_id_header);
-  return id == nullptr ? "" : *id;
+  return std::string(TextIn(request.headers(), m_protocol.request_id_header));
 }
 
 void EntryProxy::EchoRequestId(const DownstreamRequest& request, HeaderList& headers) const {
--- a/src/http_headers.cc
+++ b/src/http_headers.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <cstdio>
 
@@ -61,12 +62,23 @@
   return nullptr;
 }
 
-int64_t NumberIn(const HeaderList& headers, std::string_view name) {
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return lower;
+}
+
+std::string_view TextIn(const HeaderList& headers, std::string_view name) {
   const std::string* text = FindHeader(headers, name);
-  if (text == nullptr) return 0;
+  return text == nullptr ? std::string_view() : *text;
+}
+
+int64_t NumberIn(const HeaderList& headers, std::string_view name) {
+  std::string_view text = TextIn(headers, name);
   int64_t value = 0;
-  auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
-  bool is_number = error == std::errc() && end == text->data() + text->size();
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  bool is_number = error == std::errc() && end == text.data() + text.size();
   return is_number ? std::max<int64_t>(0, value) : 0;
 }
 
@@ -80,8 +92,7 @@
 }
 
 bool HasOutcome(const HeaderList& headers, std::string_view outcome) {
-  const std::string* text = FindHeader(headers, kOutcomeHeader);
-  return text != nullptr && *text == outcome;
+  return TextIn(headers, kOutcomeHeader) == outcome;
 }
 
 void SetRetryAfter(HeaderList& headers, int64_t retry_after_ms) {
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -99,6 +99,10 @@
 bool IsSameHeaderName(std::string_view a, std::string_view b);
 // Null when absent.
 const std::string* FindHeader(const HeaderList& headers, std::string_view name);
+// `text` with its ASCII letters in lower case, as names of hosts are compared.
+std::string LowerCase(std::string_view text);
+// Empty when absent.
+std::string_view TextIn(const HeaderList& headers, std::string_view name);
 // The value of a header with a non-negative number; 0 when it is absent or something else.
 int64_t NumberIn(const HeaderList& headers, std::string_view name);
 void RemoveHeader(HeaderList& headers, std::string_view name);
--- a/src/link_pacer.cc
+++ b/src/link_pacer.cc
@@ -41,8 +41,6 @@
   return m_rate == 0 ? 0 : (m_bytes + bytes) * kMsPerSecond / m_rate;
 }
 
-int64_t LinkBacklog::WaitMs() const { return TimeMs(0); }
-
 std::optional<int64_t> LinkBacklog::RefusalWaitMs(const LargeRequest& request) const {
   int64_t wait_ms = TimeMs(request.promised_bytes);
   int64_t total_ms = TimeMs(request.promised_bytes + request.bytes);
--- a/src/link_pacer.h
+++ b/src/link_pacer.h
@@ -35,9 +35,7 @@
   void Remove(int64_t bytes) { m_bytes = bytes > m_bytes ? 0 : m_bytes - bytes; }
 
   int64_t bytes() const { return m_bytes; }
-  // Time until what is held now has been sent.
-  int64_t WaitMs() const;
-  // Time until another answer of `bytes` would have been sent.
+  // Time until what is held now, and another answer of `bytes`, would have been sent.
   int64_t TimeMs(int64_t bytes) const;
   // Empty when the answer can be sent in time; else how far the link is behind, at least 1 ms.
   std::optional<int64_t> RefusalWaitMs(const LargeRequest& request) const;
--- a/src/node.cc
+++ b/src/node.cc
@@ -100,13 +100,9 @@
 };
 
 AdminHooks Node::Impl::MakeAdminHooks() {
-  AdminHooks hooks;
-  hooks.metrics_text = [this] { return metrics.Text(); };
+  AdminHooks hooks = MeasureHooks(metrics, burn, settings.node.name);
   hooks.status = [this] { return Status(); };
   hooks.members = [this] { return Members(); };
-  hooks.burn = [this] {
-    return nlohmann::json::parse(ToJson(burn.Snapshot(settings.node.name, EventLoop::NowUs())));
-  };
   hooks.start_drain = [this] { StartDrain(); };
   return hooks;
 }
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -134,10 +134,8 @@
   const std::string* text = FindHeader(headers, kLoadHeader);
   std::optional<ServerLoad> load = text == nullptr ? std::nullopt : ParseLoad(*text);
   if (load) m_tracker.Reported(node, *load, now_us);
-  const std::string* outcome = FindHeader(headers, kOutcomeHeader);
-  if (outcome == nullptr || *outcome != kOutcomeNotRun) return;
-  const std::string* reason = FindHeader(headers, kReasonHeader);
-  if (int64_t avoid_ms = reason == nullptr ? 0 : AvoidMsFor(*reason); avoid_ms > 0) {
+  if (!HasOutcome(headers, kOutcomeNotRun)) return;
+  if (int64_t avoid_ms = AvoidMsFor(TextIn(headers, kReasonHeader)); avoid_ms > 0) {
     m_tracker.Refused(node, avoid_ms, now_us);
     return;
   }
--- a/src/serving_call.h
+++ b/src/serving_call.h
@@ -53,20 +53,25 @@
 };
 
 inline std::string RequestIdOf(const DownstreamRequest& request) {
-  const std::string* id = FindHeader(request.headers(), kRequestIdHeader);
-  return id == nullptr ? "" : *id;
+  return std::string(TextIn(request.headers(), kRequestIdHeader));
 }
 
-// Monotonic microseconds; 0 when the sender has named no objective.
+// The end, in monotonic microseconds, of the time that the sender names in `header`; nothing when
+// it names none.
+inline std::optional<int64_t> EndOfTimeIn(const DownstreamRequest& request,
+                                          std::string_view header) {
+  constexpr int64_t kUsPerMs = 1000;
+  std::optional<int64_t> ms = ParseDeadlineMs(TextIn(request.headers(), header));
+  return ms ? std::optional<int64_t>(request.arrival_us() + *ms * kUsPerMs) : std::nullopt;
+}
+
+// 0 when the sender has named no objective.
 inline int64_t ObjectiveOf(const DownstreamRequest& request) {
-  const std::string* text = FindHeader(request.headers(), kObjectiveHeader);
-  std::optional<int64_t> ms = text == nullptr ? std::nullopt : ParseDeadlineMs(*text);
-  return ms ? request.arrival_us() + *ms * 1000 : 0;
+  return EndOfTimeIn(request, kObjectiveHeader).value_or(0);
 }
 
 inline std::string KeyOf(const DownstreamRequest& request) {
-  const std::string* key = FindHeader(request.headers(), kOrderKeyHeader);
-  return key == nullptr ? "" : *key;
+  return std::string(TextIn(request.headers(), kOrderKeyHeader));
 }
 
 }  // namespace guavatrail
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -42,9 +42,8 @@
 }
 
 int64_t DeadlineOf(const DownstreamRequest& request) {
-  const std::string* text = FindHeader(request.headers(), kDeadlineHeader);
-  std::optional<int64_t> ms = text == nullptr ? std::nullopt : ParseDeadlineMs(*text);
-  return request.arrival_us() + ms.value_or(kDefaultDeadlineMs) * kUsPerMs;
+  int64_t usual_us = request.arrival_us() + kDefaultDeadlineMs * kUsPerMs;
+  return EndOfTimeIn(request, kDeadlineHeader).value_or(usual_us);
 }
 
 }  // namespace
@@ -193,10 +192,11 @@
   int64_t now_us = EventLoop::NowUs();
   int64_t arrival_us = call.downstream->arrival_us();
   int64_t start_us = call.start_us == 0 ? now_us : call.start_us;
-  const std::string* id = FindHeader(call.downstream->headers(), m_protocol.request_id_header);
-  LOG(INFO) << "event=served id=" << (id == nullptr ? "" : *id) << " try_id=" << call.request_id
-            << " kind=" << call.work.name << " outcome=" << outcome << " reason=" << reason
-            << " server=" << call.server_id << " queue_ms=" << (start_us - arrival_us) / kUsPerMs
+  LOG(INFO) << "event=served id="
+            << TextIn(call.downstream->headers(), m_protocol.request_id_header)
+            << " try_id=" << call.request_id << " kind=" << call.work.name << " outcome=" << outcome
+            << " reason=" << reason << " server=" << call.server_id
+            << " queue_ms=" << (start_us - arrival_us) / kUsPerMs
             << " server_ms=" << (now_us - start_us) / kUsPerMs
             << " left_ms=" << (call.deadline_us - now_us) / kUsPerMs
             << " in_service=" << load.in_service << " queued=" << load.queued
--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -51,8 +51,7 @@
   HeaderList headers = NodeHeaders(kOutcomeNotRun, RequestIdOf(*request));
   SetHeader(headers, kReasonHeader, reason);
   SetRetryAfter(headers, kDrainRetryAfterMs);
-  const std::string* id = FindHeader(request->headers(), m_protocol.request_id_header);
-  LOG(INFO) << "event=served id=" << (id == nullptr ? "" : *id)
+  LOG(INFO) << "event=served id=" << TextIn(request->headers(), m_protocol.request_id_header)
             << " try_id=" << RequestIdOf(*request) << " outcome=" << kOutcomeNotRun
             << " reason=" << reason << " server=" << m_gate.server_id
             << " gate_open=" << m_gate.is_open << " retry_after_ms=" << kDrainRetryAfterMs;
--- a/test/correctness/large_answers_leave_room_on_the_link_test.cc
+++ b/test/correctness/large_answers_leave_room_on_the_link_test.cc
@@ -18,12 +18,12 @@
 
 TEST(LargeAnswersLeaveRoomOnTheLink, TheBacklogTellsTheWait) {
   LinkBacklog backlog(1'000'000);
-  EXPECT_EQ(backlog.WaitMs(), 0);
+  EXPECT_EQ(backlog.TimeMs(0), 0);
   backlog.Add(90'000);
-  EXPECT_EQ(backlog.WaitMs(), 90);
+  EXPECT_EQ(backlog.TimeMs(0), 90);
   EXPECT_EQ(backlog.TimeMs(10'000), 100);
   backlog.Remove(50'000);
-  EXPECT_EQ(backlog.WaitMs(), 40);
+  EXPECT_EQ(backlog.TimeMs(0), 40);
   backlog.Remove(50'000);
   EXPECT_EQ(backlog.bytes(), 0);
   EXPECT_EQ(LinkBacklog(0).TimeMs(1'000'000), 0);
@@ -126,7 +126,7 @@
     clients.back()->Send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
   }
   RunFor(loop, std::chrono::milliseconds(50));
-  EXPECT_GT(pacer.backlog().WaitMs(), 250);
+  EXPECT_GT(pacer.backlog().TimeMs(0), 250);
   FakeClient brief(loop, listener.port());
   int64_t brief_us = EventLoop::NowUs();
   brief.Send("GET /brief HTTP/1.1\r\nHost: a\r\n\r\n");
