Bound what a peer sends without end, and let failing servers lose their share

Causes, each shown by a test that failed first: - A caller whose head fills the 64 KB that a connection reads ahead and does not end kept the loop of the node busy for the 60 s of the read timeout (BytesWithoutEnd.OfACallerAreCutOff: 60.1 s before, 0.1 s now): the reader asked for more than its buffer may hold. - Interim answers, line ends, the rest of an answer to an earlier request, the body of a refusal and a body without a length were read for as long as they came.

Ruled out: the same bound for answers with a length, which end by themselves.

--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -33,6 +33,9 @@
 constexpr int kKeepAliveProbes = 2;
 constexpr unsigned kUserTimeoutMs = 3'000;
 constexpr int kFirstFailure = 300;
+// An answer to an earlier request is passed over up to this length; one that goes on must not hold
+// up the answer behind it.
+constexpr size_t kMaxPassedOverBytes = 1'048'576;
 
 void SetOption(evutil_socket_t fd, int level, int option, int value) {
   // The options only shorten waits; a system that lacks one still carries requests.
@@ -124,6 +127,8 @@
   Timer connect_timer;
   Exchange* exchange = nullptr;
   bool is_passing_over = false;  // The answer that is read belongs to an earlier request.
+  size_t passed_over_bytes = 0;
+  int requests_written = 0;
   bool keeps_alive = true;
   bool is_closed = false;  // Must not be used again.
   bool has_connected = false;
@@ -182,6 +187,7 @@
 
 void PooledConnection::WriteRequest() {
   const UpstreamRequest& request = exchange->m_request;
+  ++requests_written;
   evbuffer* output = bufferevent_get_output(bev);
   AddText(output, MethodName(request.method));
   AddText(output, " ");
@@ -257,8 +263,10 @@
       !request.id_header.empty() && FindHeader(head.headers, request.id_header) == nullptr;
   bool is_undelimited =
       head.framing == BodyFraming::kUntilClose && !pool.m_options.close_ends_answer;
-  // A success that names no request could be anybody's.
-  if (is_undelimited || (lacks_id && head.status < kFirstFailure)) {
+  // A success that names no request could be anybody's. On a connection that has carried a request
+  // before, so could a refusal, and "not run" would then be believed of a request that has run.
+  bool is_ambiguous = lacks_id && (head.status < kFirstFailure || requests_written > 1);
+  if (is_undelimited || is_ambiguous) {
     is_closed = true;
     pool.End(*this, ExchangeEnd::kBroken);
     return false;
@@ -275,7 +283,12 @@
 
 void PooledConnection::OnBody() {
   if (is_passing_over || exchange == nullptr) {
-    evbuffer_drain(body, evbuffer_get_length(body));
+    size_t length = evbuffer_get_length(body);
+    evbuffer_drain(body, length);
+    passed_over_bytes += length;
+    if (passed_over_bytes <= kMaxPassedOverBytes) return;
+    is_closed = true;
+    pool.End(*this, ExchangeEnd::kBroken);
     return;
   }
   std::shared_ptr<Exchange::Handlers> handlers = exchange->m_handlers;
@@ -403,6 +416,7 @@
 void ConnectionPool::Write(PooledConnection& connection, Exchange& exchange) {
   connection.exchange = &exchange;
   connection.is_passing_over = false;
+  connection.passed_over_bytes = 0;
   exchange.m_connection = &connection;
   exchange.m_last_activity_us = EventLoop::NowUs();
   if (connection.bev == nullptr) {
--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -59,7 +59,9 @@
   SetNoDelay(fd);
   bufferevent_setcb(m_bev, &DownstreamConnection::OnRead, nullptr, &DownstreamConnection::OnEvent,
                     this);
-  bufferevent_setwatermark(m_bev, EV_READ, 0, kReadAheadBytes);
+  // The reader must be able to see a whole head, or that it is too large.
+  bufferevent_setwatermark(m_bev, EV_READ, 0,
+                           std::max(kReadAheadBytes, listener.m_limits.max_head_bytes + 1));
   bufferevent_set_timeouts(m_bev, nullptr, &kWriteTimeout);
   m_output_entry =
       evbuffer_add_cb(bufferevent_get_output(m_bev), &DownstreamConnection::OnOutput, this);
--- a/src/http_reader.cc
+++ b/src/http_reader.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+// A peer that sends nothing but line ends or interim answers would keep its reader busy for ever.
+constexpr int kMaxInterimAnswers = 16;
+constexpr int kMaxLeadingLineEnds = 4;
 
 struct MethodEntry {
   http_method parsed;
@@ -121,6 +124,8 @@
   evhttp_cmd_type asked_method = EVHTTP_REQ_GET;
   HttpReadError error = HttpReadError::kNone;
   evbuffer* body_target = nullptr;
+  int leading_line_ends = 0;    // Before the message.
+  int interim_answers = 0;      // Since the last whole message.
   bool has_begun = false;       // Bytes of the message were read.
   bool is_head_whole = false;   // The head was parsed.
   bool is_complete = false;     // The message was parsed.
@@ -149,6 +154,7 @@
   http_parser_init(&parser, kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   parser.data = this;
   head = {};
+  leading_line_ends = 0;
   has_begun = is_head_whole = is_complete = was_value = false;
   has_head_event = has_body_event = false;
 }
@@ -256,15 +262,20 @@
 
 // Whether a whole, strict head lies in `input`; on a fault sets `error`.
 bool HttpReader::Impl::ReadHead(evbuffer* input) {
-  // Line ends before a request line are allowed and mean nothing.
+  // Some line ends before a request line are allowed and mean nothing.
   while (evbuffer_get_length(input) >= 2) {
     const unsigned char* start = evbuffer_pullup(input, 2);
     if (start[0] != '\r' || start[1] != '\n') break;
+    if (++leading_line_ends > kMaxLeadingLineEnds) {
+      error = HttpReadError::kBadSyntax;
+      return false;
+    }
     evbuffer_drain(input, 2);
   }
   evbuffer_ptr end = evbuffer_search(input, "\r\n\r\n", 4, nullptr);
   size_t length = end.pos < 0 ? evbuffer_get_length(input) : static_cast<size_t>(end.pos) + 4;
-  if (length > max_head_bytes) {
+  // A head that fills its limit and has not ended is over it.
+  if (length > max_head_bytes || (end.pos < 0 && length == max_head_bytes)) {
     error = HttpReadError::kHeadTooLarge;
     return false;
   }
@@ -317,7 +328,9 @@
     if (impl.is_complete) {
       bool is_interim = impl.kind == Kind::kAnswer && impl.head.status < kFirstFinalStatus;
       impl.Restart();
+      impl.interim_answers = is_interim ? impl.interim_answers + 1 : 0;
       if (!is_interim) return Event::kDone;
+      if (impl.interim_answers > kMaxInterimAnswers) return impl.Fail(HttpReadError::kBadSyntax);
     }
     if (!impl.has_begun) {
       if (!impl.ReadHead(input)) {
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -11,6 +11,11 @@
 // A report loses half of its weight in this time: a server that is no longer chosen because of an
 // old report gets calls again.
 constexpr double kReportHalfLifeUs = 500'000;
+// How many of its requests a server fails is told for longer, since it gets few while it is
+// avoided.
+constexpr double kFailingHalfLifeUs = 3'000'000;
+// A request that fails costs its caller as much as the wait for so many others.
+constexpr double kFailureCost = 4;
 // Assumed service time while no server has reported one.
 constexpr double kDefaultServiceUs = 5'000;
 // Nearly equal servers share the calls at random; otherwise the one that is a little faster would
@@ -27,6 +32,15 @@
   return std::exp2(-static_cast<double>(candidate.load_age_us) / kReportHalfLifeUs);
 }
 
+// What a request costs its caller beyond its time on the server, as a factor: failed tries.
+double FailureFactor(const PlacementCandidate& candidate) {
+  constexpr double kMaxShare = 0.95;
+  if (candidate.load.failing_percent <= 0 || candidate.load_age_us < 0) return 1;
+  double weight = std::exp2(-static_cast<double>(candidate.load_age_us) / kFailingHalfLifeUs);
+  double share = std::min(kMaxShare, weight * candidate.load.failing_percent / 100);
+  return 1 + kFailureCost * share / (1 - share);
+}
+
 // Requests that the server is believed to hold.
 double RequestsAt(const PlacementCandidate& candidate) {
   double reported = WeightOf(candidate) * (candidate.load.in_service + candidate.load.queued);
@@ -68,7 +82,7 @@
   }
   int slots = std::max(1, candidate.slots);
   double requests = RequestsAt(candidate) + (1 - weight) * neutral.requests_per_slot * slots;
-  return (requests + 1) / slots * service_us;
+  return (requests + 1) / slots * service_us * FailureFactor(candidate);
 }
 
 std::optional<int64_t> TakeNumber(std::string_view& text, std::string_view name) {
@@ -84,19 +98,29 @@
 }  // namespace
 
 std::string FormatLoad(const ServerLoad& load) {
-  return "in_service=" + std::to_string(load.in_service) +
-         ",queued=" + std::to_string(load.queued) +
-         ",service_us=" + std::to_string(load.service_us);
+  std::string text = "in_service=" + std::to_string(load.in_service) +
+                     ",queued=" + std::to_string(load.queued) +
+                     ",service_us=" + std::to_string(load.service_us);
+  if (load.failing_percent > 0) text += ",failing=" + std::to_string(load.failing_percent);
+  return text;
 }
 
 std::optional<ServerLoad> ParseLoad(std::string_view text) {
   constexpr int64_t kMaxRequests = 1'000'000;
+  constexpr int64_t kMaxPercent = 100;
   auto in_service = TakeNumber(text, "in_service=");
   auto queued = in_service ? TakeNumber(text, ",queued=") : std::nullopt;
   auto service_us = queued ? TakeNumber(text, ",service_us=") : std::nullopt;
-  if (!service_us || !text.empty()) return std::nullopt;
+  if (!service_us) return std::nullopt;
+  int64_t failing = 0;
+  if (!text.empty()) {
+    auto percent = TakeNumber(text, ",failing=");
+    if (!percent || *percent > kMaxPercent || !text.empty()) return std::nullopt;
+    failing = *percent;
+  }
   if (*in_service > kMaxRequests || *queued > kMaxRequests) return std::nullopt;
-  return ServerLoad{static_cast<int>(*in_service), static_cast<int>(*queued), *service_us};
+  return ServerLoad{static_cast<int>(*in_service), static_cast<int>(*queued), *service_us,
+                    static_cast<int>(failing)};
 }
 
 bool TwoChoices::IsLocal(const PlacementCandidate& candidate) const {
@@ -117,8 +141,10 @@
   if (pressure <= m_options.spill_stop) m_spilling = false;
 }
 
-double TwoChoices::CostOf(const PlacementCandidate& candidate) const {
-  return IsLocal(candidate) ? 0 : static_cast<double>(m_options.remote_cost_us);
+double TwoChoices::CostOf(const PlacementCandidate& candidate, double service_us) const {
+  if (IsLocal(candidate)) return 0;
+  return std::max(static_cast<double>(m_options.remote_cost_us),
+                  m_options.remote_gain * service_us);
 }
 
 std::vector<size_t> TwoChoices::PoolOf(std::span<const PlacementCandidate> candidates) const {
@@ -135,17 +161,26 @@
   return pool;
 }
 
+std::vector<size_t> TwoChoices::FirstDraws(std::span<const PlacementCandidate> candidates,
+                                           std::span<const size_t> pool) const {
+  std::vector<size_t> local;
+  for (size_t index : pool) {
+    if (IsLocal(candidates[index])) local.push_back(index);
+  }
+  return local.empty() ? std::vector<size_t>(pool.begin(), pool.end()) : local;
+}
+
 size_t TwoChoices::Draw(std::span<const PlacementCandidate> candidates,
                         std::span<const size_t> pool, RandomSource& random) const {
-  size_t position = 0;
+  size_t index = 0;
   for (int i = 0; i < kMaxDraws; ++i) {
-    position = random.Below(pool.size());
-    double ramp = static_cast<double>(candidates[pool[position]].known_for_us) /
+    index = pool[random.Below(pool.size())];
+    double ramp = static_cast<double>(candidates[index].known_for_us) /
                   static_cast<double>(m_options.slow_start_us);
     double share = kSlowStartShare + (1 - kSlowStartShare) * ramp;
     if (share >= 1 || random.Unit() < share) break;
   }
-  return position;
+  return index;
 }
 
 std::optional<size_t> TwoChoices::Choose(std::span<const PlacementCandidate> candidates,
@@ -154,13 +189,14 @@
   UpdateSpill(candidates);
   std::vector<size_t> pool = PoolOf(candidates);
   if (pool.size() == 1) return pool.front();
-  size_t position = Draw(candidates, pool, random);
-  size_t first = pool[position];
-  pool.erase(pool.begin() + static_cast<std::ptrdiff_t>(position));
-  size_t second = pool[Draw(candidates, pool, random)];
+  size_t first = Draw(candidates, FirstDraws(candidates, pool), random);
+  std::erase(pool, first);
+  size_t second = Draw(candidates, pool, random);
   Neutral neutral = NeutralOf(candidates);
-  double first_us = ScoreOf(candidates[first], neutral) + CostOf(candidates[first]);
-  double second_us = ScoreOf(candidates[second], neutral) + CostOf(candidates[second]);
+  double first_us =
+      ScoreOf(candidates[first], neutral) + CostOf(candidates[first], neutral.service_us);
+  double second_us =
+      ScoreOf(candidates[second], neutral) + CostOf(candidates[second], neutral.service_us);
   return second_us < kClearlyLess * first_us ? second : first;
 }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -20,11 +20,13 @@
 struct ServerLoad {
   int in_service = 0;
   int queued = 0;
-  int64_t service_us = 0;  // Typical service time in microseconds; 0 if unknown.
+  int64_t service_us = 0;   // Typical service time in microseconds; 0 if unknown.
+  int failing_percent = 0;  // Of the last requests.
   bool operator==(const ServerLoad&) const = default;
 };
 
-// The value of the X-Guavatrail-Load header, such as "in_service=3,queued=0,service_us=1200".
+// The value of the X-Guavatrail-Load header, such as "in_service=3,queued=0,service_us=1200", with
+// ",failing=40" behind it where requests fail.
 std::string FormatLoad(const ServerLoad& load);
 // Empty if the text is not of that form.
 std::optional<ServerLoad> ParseLoad(std::string_view text);
@@ -47,7 +49,9 @@
 };
 
 // The less loaded of two servers drawn at random, from the local data centre unless it is
-// overloaded. One instance for each service.
+// overloaded. Then one of the two is still a local one: an overload is mostly one of the whole
+// service, and calls that change places between data centres that are equally full gain nothing.
+// One instance for each service.
 class TwoChoices {
  public:
   struct Options {
@@ -56,7 +60,9 @@
     // others as well; two thresholds keep the choice from switching on every small change.
     double spill_start = 1.0;
     double spill_stop = 0.7;
-    int64_t remote_cost_us = 2'000;      // Added latency of another data centre.
+    int64_t remote_cost_us = 2'000;  // Added latency of another data centre.
+    // A call leaves the data centre only for a wait that is shorter by this part of a service time.
+    double remote_gain = 0.5;
     int64_t slow_start_us = 10'000'000;  // Time until a new server gets its full share.
   };
 
@@ -69,11 +75,14 @@
 
  private:
   std::vector<size_t> PoolOf(std::span<const PlacementCandidate> candidates) const;
-  // A position in `pool`.
+  // The local servers of `pool`, or all of it when none is local.
+  std::vector<size_t> FirstDraws(std::span<const PlacementCandidate> candidates,
+                                 std::span<const size_t> pool) const;
+  // One of `pool`.
   size_t Draw(std::span<const PlacementCandidate> candidates, std::span<const size_t> pool,
               RandomSource& random) const;
-  // Added latency of the candidate's data centre in microseconds.
-  double CostOf(const PlacementCandidate& candidate) const;
+  // What a call must gain at the candidate's data centre, in microseconds.
+  double CostOf(const PlacementCandidate& candidate, double service_us) const;
   void UpdateSpill(std::span<const PlacementCandidate> candidates);
   bool IsLocal(const PlacementCandidate& candidate) const;
 
--- a/src/serving_call.h
+++ b/src/serving_call.h
@@ -36,11 +36,13 @@
   int64_t retry_after_ms = 0;  // Of a refusal.
   int64_t wait_ms = 0;         // Predicted when an offer was refused.
   std::string server_id;       // That the request was sent to.
+  int server_status = 0;       // Of the server's answer; 0 before it has come.
   WorkTag work;
   Phase phase = Phase::kQueued;
   int64_t deadline_us = 0;
   int64_t start_us = 0;
-  bool is_given_up = false;  // The sender was told that the outcome is unknown.
+  bool is_open_ended = false;  // The answer that has begun states no length.
+  bool is_given_up = false;    // The sender was told that the outcome is unknown.
   bool is_second_try = false;
   std::string refusal;         // The backend server turned the request away, and why; else empty.
   bool may_have_left = false;  // An earlier try may have reached the server.
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -3,6 +3,8 @@
 #include <event2/buffer.h>
 #include <glog/logging.h>
 
+#include <algorithm>
+
 #include "deadline.h"
 #include "placement.h"
 #include "serving_call.h"
@@ -19,10 +21,16 @@
 constexpr std::chrono::milliseconds kUsualIdle{60'000};
 // An answer that has begun may take any time as long as bytes come.
 constexpr std::chrono::milliseconds kStreamIdle{30'000};
+// An answer without a stated length may go on without end. It is broken off this long after the
+// deadline, when its caller has long stopped waiting.
+constexpr std::chrono::milliseconds kOpenEndedOvertime{5'000};
+// The head of a refusal says all; what follows it is waited for this long, to keep the connection.
+constexpr std::chrono::milliseconds kRefusalBodyTime{100};
 // Keyed orders run on after their caller was told that the outcome is unknown, so that a repeat of
 // the key learns it.
 constexpr std::chrono::milliseconds kOrderOvertime{30'000};
 constexpr std::chrono::milliseconds kQueueCheck{20};
+constexpr int kFirstServerError = 500;
 constexpr std::string_view kDefaultWork = "unnamed;importance=1;short;once";
 
 AdmissionPolicy MakeAdmission(const Settings& settings) {
@@ -89,7 +97,8 @@
 HeaderList ServingProxy::NodeHeaders(std::string_view outcome, std::string_view request_id) const {
   AdmissionLoad load = LoadOf(m_admission);
   HeaderList headers = {{kOutcomeHeader, std::string(outcome)},
-                        {kLoadHeader, FormatLoad({load.in_service, load.queued, load.service_us})}};
+                        {kLoadHeader, FormatLoad({load.in_service, load.queued, load.service_us,
+                                                  m_failures.percent()})}};
   // Entry nodes check that an answer belongs to their request.
   if (!request_id.empty()) SetHeader(headers, kRequestIdHeader, request_id);
   return headers;
@@ -248,8 +257,10 @@
 }
 
 void ServingProxy::OnHead(Call& call, const AnswerHead& head) {
+  call.server_status = head.status;
   if (IsRefusal(head)) {
     call.refusal = head.status == kHttpMisdirected ? kReasonWrongServer : kReasonServerFull;
+    call.timer.Start(kRefusalBodyTime);
     return;
   }
   HeaderList headers = head.headers;
@@ -259,7 +270,8 @@
   m_metrics.GetHistogram("server_answer_us", "kind=\"" + call.work.name + "\"").Record(server_us);
   if (call.is_keyed()) call.answer = {head.status, headers, ""};
   if (!call.is_attached()) return;
-  call.timer.Start(kStreamIdle);
+  call.is_open_ended = !head.content_length && head.framing != BodyFraming::kNone;
+  call.timer.Start(std::chrono::microseconds(StreamTimeUs(call)));
   for (auto& [name, value] : NodeHeaders(kOutcomeAnswered, call.request_id)) {
     SetHeader(headers, name, value);
   }
@@ -290,7 +302,25 @@
   }
 }
 
+// What the end of a request tells of the backend server. One that breaks off one request after the
+// other gets no more work until it reports again, and then only until it breaks off the next one.
+void ServingProxy::JudgeServer(const Call& call, ExchangeEnd end) {
+  if (end == ExchangeEnd::kNotSent || call.server_id != m_gate.server_id) return;
+  if (end == ExchangeEnd::kBroken) {
+    m_failures.Broke();
+  } else if (!call.refusal.empty() || call.server_status >= kFirstServerError) {
+    m_failures.Failed();
+  } else {
+    m_failures.Succeeded();
+  }
+  if (!m_failures.is_unreachable() || !m_gate.is_open) return;
+  LOG(WARNING) << "event=server_breaks_off server=" << call.server_id
+               << " failing_percent=" << m_failures.percent();
+  if (m_observer.on_unreachable) m_observer.on_unreachable(call.server_id);
+}
+
 void ServingProxy::OnDone(Call& call, ExchangeEnd end) {
+  JudgeServer(call, end);
   if (!call.refusal.empty()) {
     OnServerRefusal(call);
     return;
@@ -338,6 +368,15 @@
   }
 }
 
+// Time until an answer that has begun is to be looked at again; none is left for one that has gone
+// on for too long.
+int64_t ServingProxy::StreamTimeUs(const Call& call) {
+  int64_t idle_us = kStreamIdle.count() * kUsPerMs;
+  if (!call.is_open_ended) return idle_us;
+  int64_t end_us = call.deadline_us + kOpenEndedOvertime.count() * kUsPerMs;
+  return std::clamp<int64_t>(end_us - EventLoop::NowUs(), 0, idle_us);
+}
+
 // The deadline has passed, or an answer that has begun may have stalled.
 void ServingProxy::OnTimer(Call& call) {
   if (call.phase == Call::Phase::kQueued) {
@@ -345,10 +384,16 @@
     Refuse(call, kDrainRetryAfterMs, kReasonOverload);
     return;
   }
+  if (!call.refusal.empty()) {
+    call.exchange.reset();
+    OnServerRefusal(call);
+    return;
+  }
   bool is_streaming = call.relay.has_begun() && call.is_attached();
   int64_t idle_us = EventLoop::NowUs() - call.exchange->last_activity_us();
-  if (is_streaming && (call.exchange->is_paused() || idle_us < kStreamIdle.count() * kUsPerMs)) {
-    call.timer.Start(kStreamIdle);
+  bool is_alive = call.exchange->is_paused() || idle_us < kStreamIdle.count() * kUsPerMs;
+  if (is_streaming && is_alive && StreamTimeUs(call) > 0) {
+    call.timer.Start(std::chrono::microseconds(StreamTimeUs(call)));
     return;
   }
   bool runs_on = call.is_keyed() && call.exchange->may_have_left();
@@ -367,6 +412,9 @@
   call.phase = Call::Phase::kEnded;
   call.timer.Cancel();
   bool not_run = !call.may_have_left && !call.exchange->may_have_left();
+  // A server that is silent until the deadline has failed; one whose caller has left has not.
+  bool is_overdue = EventLoop::NowUs() >= call.deadline_us;
+  if (is_overdue && !not_run && call.server_id == m_gate.server_id) m_failures.Failed();
   call.exchange.reset();
   if (call.is_keyed()) FinishOrder(call, not_run ? ExchangeEnd::kNotSent : ExchangeEnd::kBroken);
   if (call.relay.has_begun()) {
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -15,6 +15,7 @@
 #include "connection_pool.h"
 #include "downstream_request.h"
 #include "event_loop.h"
+#include "failure_share.h"
 #include "keyed_orders.h"
 #include "metrics.h"
 #include "outer_protocol.h"
@@ -95,10 +96,12 @@
   void OnData(Call& call, evbuffer* data);
   void OnDone(Call& call, ExchangeEnd end);
   void OnTimer(Call& call);
+  static int64_t StreamTimeUs(const Call& call);
   void OnDownstreamEnd(Call& call, bool written);
   void FinishOrder(Call& call, ExchangeEnd end);
   void AnswerNotRun(Call& call, std::string_view reason, int64_t retry_after_ms);
   void AnswerUnknown(Call& call, int status);
+  void JudgeServer(const Call& call, ExchangeEnd end);
   void GiveUp(Call& call);
   void RemoveIfEnded(Call& call);
   void LogEnd(const Call& call, std::string_view outcome, std::string_view reason) const;
@@ -125,6 +128,7 @@
   std::string m_service;
   Metrics& m_metrics;
   AdmissionPolicy m_admission;
+  FailureShare m_failures;  // Of the backend server.
   KeyedOrders m_orders;
   ConnectionPool m_pool;
   HttpListener m_listener;
--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -15,6 +15,7 @@
 
 void ServingProxy::OpenGate(const std::string& server_id, int slots) {
   bool is_new = !m_gate.is_open || m_gate.server_id != server_id;
+  if (m_gate.server_id != server_id) m_failures = FailureShare();
   m_gate = {true, server_id, ""};
   m_gate_timer.Cancel();
   if (auto* admission = std::get_if<SlotAdmission>(&m_admission)) admission->SetSlots(slots);
