Keep calls in their data centre while the whole service is full, and end a call at its first full queue

Of 53,000 tries 33,000 crossed; 23,000 of those were refusals. With both data centres equally full, placement drew two servers from all of them and a call went to the other side for nothing, and a call that its best queue had refused asked three more nodes. Ruled out: control traffic (11 nodes, changes as notes) and answers alone (6,800 crossings).

--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -25,6 +25,9 @@
 inline constexpr int kMaxTries = 6;
 // Serving nodes that are asked for a free slot before the request waits at one of them.
 inline constexpr int kOffers = 2;
+// Nodes that may find the wait too long before the call is refused: the first of them was the one
+// with the shortest wait of those that had been asked for a slot, so more would say the same.
+inline constexpr int kMaxQueueRefusals = 1;
 inline constexpr int64_t kUsualRetryAfterMs = 100;
 
 // One try of a call on one serving node.
@@ -58,6 +61,7 @@
   std::set<std::string> tried;
   int tries_started = 0;
   int offers_made = 0;
+  int queue_refusals = 0;  // By nodes at which the request would have waited too long.
   // Nodes without a free slot, and how long the request would wait there.
   std::vector<std::pair<int64_t, std::string>> busy;
   int attempts = kMaxTries;  // Most servers that may get the request.
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -19,6 +19,8 @@
 constexpr int64_t kDeadlineGraceMs = 50;
 constexpr int64_t kNoTableRetryAfterMs = 1'000;
 constexpr int64_t kLongLocalWaitMs = 600;
+// A wait in another data centre counts for this much more than one in this.
+constexpr double kRemoteWaitFactor = 1.3;
 // Requests that must not be repeated take connections used within this time; see ServingProxy.
 constexpr std::chrono::milliseconds kFreshIdle{1'000};
 constexpr std::chrono::milliseconds kUsualIdle{60'000};
@@ -226,10 +228,17 @@
   return std::min_element(call.busy.begin(), call.busy.end())->first > kLongLocalWaitMs;
 }
 
-// The node at which the request would wait least, of those that had no free slot.
+// The node at which the request would wait least, of those that had no free slot. A remote one must
+// be clearly better.
 const Endpoint* EntryProxy::LeastBusy(EntryCall& call) const {
+  auto cost_of = [this](const std::pair<int64_t, std::string>& busy) {
+    auto wait_ms = static_cast<double>(busy.first);
+    return m_picker.IsLocal(busy.second) ? wait_ms : kRemoteWaitFactor * wait_ms;
+  };
   while (!call.busy.empty()) {
-    auto least = std::min_element(call.busy.begin(), call.busy.end());
+    auto least =
+        std::min_element(call.busy.begin(), call.busy.end(),
+                         [&](const auto& a, const auto& b) { return cost_of(a) < cost_of(b); });
     const Endpoint* server = m_picker.endpoints().FindNode(least->second);
     call.busy.erase(least);
     if (server != nullptr && server->service == call.service) return server;
@@ -327,6 +336,7 @@
     t.reached_server = HasReachedServer(head);
     std::string_view reason = TextIn(head.headers, kReasonHeader);
     call.last_reason = reason.empty() ? "refused" : reason;
+    if (reason == kReasonOverload) ++call.queue_refusals;
     int64_t wait_ms = NumberIn(head.headers, kWaitMsHeader);
     if (wait_ms > 0) call.busy.emplace_back(wait_ms, t.node);
     // A node that is not draining may issue another key.
@@ -452,6 +462,7 @@
   bool is_safe = call.work.mode == RunMode::kRepeatable || !call.may_have_run;
   if (!is_safe || call.tries_started >= kMaxTries) return false;
   if (call.deadline_us <= EventLoop::NowUs()) return false;
+  if (call.queue_refusals >= kMaxQueueRefusals) return false;
   if (call.servers_reached == 0) return true;
   return call.servers_reached < call.attempts && m_picker.TakeRetry(call.service);
 }
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -89,6 +89,11 @@
   });
 }
 
+bool ServerPicker::IsLocal(std::string_view node) const {
+  const Endpoint* endpoint = m_endpoints->FindNode(node);
+  return endpoint != nullptr && endpoint->data_centre == m_local_data_centre;
+}
+
 const Endpoint* ServerPicker::Pick(std::string_view service, const std::set<std::string>& excluded,
                                    bool may_probe, bool stays_local, int64_t now_us) {
   bool is_bound = stays_local && HasLocal(service);
--- a/src/server_picker.h
+++ b/src/server_picker.h
@@ -35,6 +35,8 @@
   const Endpoint* Pick(std::string_view service, const std::set<std::string>& excluded,
                        bool may_probe, bool stays_local, int64_t now_us);
   const EndpointList& endpoints() const { return *m_endpoints; }
+  // Whether the node is in this data centre.
+  bool IsLocal(std::string_view node) const;
 
   // Events of calls. Sent and Ended come in pairs.
   void Called(std::string_view service);
--- a/test/correctness/placement_prefers_the_local_data_centre_test.cc
+++ b/test/correctness/placement_prefers_the_local_data_centre_test.cc
@@ -39,6 +39,18 @@
   EXPECT_FALSE(IsSpilling(policy));
 }
 
+// Guards against calls that change places between data centres which are equally full.
+TEST(PlacementPrefersTheLocalDataCentre, WhenTheWholeServiceIsFull) {
+  PlacementPolicy policy = TwoChoices({.local_data_centre = "a"});
+  std::vector<PlacementCandidate> servers = Servers(15);
+  for (auto& server : servers) server.load.in_service = 15;
+  EXPECT_EQ(RemoteOf1000(policy, servers), 0);
+  EXPECT_TRUE(IsSpilling(policy));
+  // One remote server has room.
+  servers[2].load.in_service = 2;
+  EXPECT_GT(RemoteOf1000(policy, servers), 200);
+}
+
 TEST(PlacementPrefersTheLocalDataCentre, AndGoesElsewhereWhenNoLocalServerIsUsable) {
   PlacementPolicy policy = TwoChoices({.local_data_centre = "a"});
   std::vector<PlacementCandidate> servers = Servers(1);
