Pass endpoints on between nodes, and let nothing undo an acknowledged leave

In an outage all followers turned to the store every 50 to 800 ms, since their watchers were stale. - Answers of ConfigRelay name the revision of the endpoints that the source knows; EndpointRelay then asks it for what has changed since the follower's own revision. EndpointLog remembers names, and present states are sent, so that order and repetition do not matter. A randomized model with three watchers and twelve followers found two states in which a removal was lost (an entry that the source had never known; entries that came and went during a whole reading); both have tests. - ConfigSourcePolicy knows four sources. Three that live and are stale are an outage: the platform is tried after a random time, and after a failed trial the sources are asked in turn. A follower that does turn to the store reads endpoints only once the store has answered.

Now a stored report is merged with what came before it, at whatever time it is read, also when a conflicting write shows it; each report that takes the server out of use is acknowledged once stored, or after 500 ms; and a server known from the store only is trusted for 2 s without a report of its own, which bounds what a leave acknowledged during an outage and forgotten with the process can do. A drain by an operator is stored and binds the server's lifetime.

--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -15,6 +15,8 @@
 constexpr char kWaitHeader[] = "X-Guavatrail-Config-Wait-Ms";
 // Time since the platform confirmed the configuration, in ms.
 constexpr char kAgeHeader[] = "X-Guavatrail-Config-Age-Ms";
+// Revision of the platform's store up to which the endpoints are known.
+constexpr char kEndpointsHeader[] = "X-Guavatrail-Endpoints-Revision";
 // The body is a change from the asker's version, and this is the digest of its result.
 constexpr char kChangeHeader[] = "X-Guavatrail-Config-Digest";
 constexpr int kHttpNotModified = 304;
@@ -31,8 +33,12 @@
 constexpr std::chrono::milliseconds kLateTime{2'000};
 // How often a node that follows the platform looks whether it should.
 constexpr std::chrono::milliseconds kRoleCheck{1'000};
-// Between two questions that got no new table.
+// A follower that has turned to the platform gives it this time to answer.
+constexpr std::chrono::milliseconds kPlatformTrial{700};
+// Between two questions.
 constexpr std::chrono::milliseconds kPause{5};
+// After a source that did not answer.
+constexpr std::chrono::milliseconds kNoAnswerPause{100};
 constexpr size_t kMaxTableBytes = 8'388'608;
 constexpr int64_t kUsPerMs = 1'000;
 
@@ -44,8 +50,9 @@
 }  // namespace
 
 ConfigRelay::ConfigRelay(EventLoop& loop, Candidate self, std::string local_ip, Metrics& metrics,
-                         Hooks hooks)
+                         RandomSource& random, Hooks hooks)
     : m_loop(loop),
+      m_random(random),
       m_hooks(std::move(hooks)),
       m_policy(std::move(self), {}),
       m_peers(loop, std::move(local_ip)),
@@ -88,6 +95,7 @@
     candidates.push_back({endpoint.node, endpoint.data_centre});
   }
   m_policy.SetCandidates(candidates);
+  AnswerWaiting();
 }
 
 void ConfigRelay::SetTable(std::shared_ptr<const ConfigTable> table) {
@@ -103,20 +111,31 @@
 
 void ConfigRelay::Confirm() { m_confirmed_us = EventLoop::NowUs(); }
 
+// Whether the platform has not confirmed anything within the time of a trial.
+bool ConfigRelay::IsPlatformSilent() const {
+  return EventLoop::NowUs() - m_confirmed_us > kPlatformTrial.count() * kUsPerMs;
+}
+
 void ConfigRelay::Step() {
   if (!m_is_running || m_current != 0) return;
-  ConfigSource source = version() == 0 ? FromPlatform{} : m_policy.SourceAt(EventLoop::NowUs());
+  int64_t now_us = EventLoop::NowUs();
+  bool is_from_platform = std::holds_alternative<FromPlatform>(m_source);
+  if (is_from_platform && !m_policy.is_watcher() && IsPlatformSilent()) {
+    m_policy.PlatformFailed(now_us, m_random.Unit());
+  }
+  ConfigSource source = version() == 0 ? FromPlatform{} : m_policy.SourceAt(now_us);
   if (source != m_source) {
     LOG(INFO) << "event=config_source source=" << Describe(source)
               << " before=" << Describe(m_source) << " version=" << version()
-              << " age_ms=" << (EventLoop::NowUs() - m_confirmed_us) / kUsPerMs;
+              << " endpoint_revision=" << m_hooks.endpoint_revision()
+              << " age_ms=" << (now_us - m_confirmed_us) / kUsPerMs;
     m_source = source;
     m_hooks.watch_platform(std::holds_alternative<FromPlatform>(source));
   }
   if (const auto* node = std::get_if<FromNode>(&m_source)) {
     Ask(node->node);
   } else {
-    m_timer.Start(kRoleCheck);
+    m_timer.Start(m_policy.is_watcher() ? kRoleCheck : kPlatformTrial);
   }
 }
 
@@ -132,6 +151,7 @@
   // A node that has lost its source wants to know at once whether it has missed a change.
   std::chrono::milliseconds wait = m_has_lost_source ? std::chrono::milliseconds(0) : kWait;
   request.headers = {{kVersionHeader, std::to_string(version())},
+                     {kEndpointsHeader, std::to_string(m_hooks.expected_endpoint_revision())},
                      {kWaitHeader, std::to_string(wait.count())}};
   uint64_t number = m_next_question++;
   Question& question = m_open[number];
@@ -168,9 +188,12 @@
     return;
   }
   m_current = 0;
-  m_has_lost_source = !is_answer;
+  bool is_useless = m_policy.IsAvoided(question.node, EventLoop::NowUs());
+  // While no source is of use, each is asked without a wait, and the waits are made up for here.
+  bool is_last_resort = is_useless && m_has_lost_source;
+  m_has_lost_source = !is_answer || is_useless;
   m_overdue_timer.Cancel();
-  m_timer.Start(kPause);
+  m_timer.Start(!is_answer ? kNoAnswerPause : is_last_resort ? kWait : kPause);
 }
 
 // Whether it was an answer; a table that it holds is put in force.
@@ -187,7 +210,11 @@
     return false;
   }
   int64_t age_us = NumberIn(reply->headers, kAgeHeader) * kUsPerMs;
-  m_policy.Answered(node, age_us, now_us);
+  m_policy.Answered(node, age_us, now_us, m_random.Unit());
+  if (const Endpoint* endpoint = m_endpoints->FindNode(node); endpoint != nullptr) {
+    auto revision = static_cast<uint64_t>(NumberIn(reply->headers, kEndpointsHeader));
+    m_hooks.source_has_endpoints(*endpoint, revision);
+  }
   m_confirmed_us = std::max(m_confirmed_us, now_us - age_us);
   auto answer_version = static_cast<uint64_t>(NumberIn(reply->headers, kVersionHeader));
   if (reply->status != kHttpOk || answer_version <= version()) return true;
@@ -228,9 +255,14 @@
   return std::make_shared<const ConfigTable>(std::move(table));
 }
 
+bool ConfigRelay::HasNewsFor(const Known& known) const {
+  return version() > known.version || m_hooks.endpoint_revision() > known.endpoint_revision;
+}
+
 void ConfigRelay::Answer(std::unique_ptr<DownstreamRequest> request) {
-  auto known = static_cast<uint64_t>(NumberIn(request->headers(), kVersionHeader));
-  if (version() > known) {
+  Known known = {static_cast<uint64_t>(NumberIn(request->headers(), kVersionHeader)),
+                 static_cast<uint64_t>(NumberIn(request->headers(), kEndpointsHeader))};
+  if (HasNewsFor(known)) {
     AnswerNow(std::move(request), known);
     return;
   }
@@ -238,6 +270,7 @@
   Waiting& waiting = m_waiting[number];
   request->SetEndHandler([this, number](bool) { Forget(number); });
   waiting.request = std::move(request);
+  waiting.known = known;
   waiting.timer = std::make_unique<Timer>(m_loop, [this, number, known] {
     auto it = m_waiting.find(number);
     if (it == m_waiting.end() || it->second.request == nullptr) return;
@@ -258,21 +291,23 @@
 
 void ConfigRelay::AnswerWaiting() {
   for (auto& [number, waiting] : m_waiting) {
-    if (waiting.request != nullptr) waiting.timer->Start(std::chrono::microseconds(0));
+    if (waiting.request == nullptr || !HasNewsFor(waiting.known)) continue;
+    waiting.timer->Start(std::chrono::microseconds(0));
   }
 }
 
-void ConfigRelay::AnswerNow(std::unique_ptr<DownstreamRequest> request, uint64_t known) {
+void ConfigRelay::AnswerNow(std::unique_ptr<DownstreamRequest> request, const Known& known) {
   int64_t age_ms = (EventLoop::NowUs() - m_confirmed_us) / kUsPerMs;
   HeaderList headers = {{kVersionHeader, std::to_string(version())},
-                        {kAgeHeader, std::to_string(std::max<int64_t>(0, age_ms))}};
-  if (version() <= known) {
+                        {kAgeHeader, std::to_string(std::max<int64_t>(0, age_ms))},
+                        {kEndpointsHeader, std::to_string(m_hooks.endpoint_revision())}};
+  if (version() <= known.version) {
     m_replies.Reply(std::move(request), kHttpNotModified, headers);
     return;
   }
   EncodeOnce();
   request->Expedite();
-  if (const std::string* change = ChangeFrom(known); change != nullptr) {
+  if (const std::string* change = ChangeFrom(known.version); change != nullptr) {
     headers.emplace_back(kChangeHeader, m_digest);
     m_replies.Reply(std::move(request), kHttpOk, headers, *change);
   } else {
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -1,4 +1,5 @@
-// Defines ConfigRelay, which passes the configuration on between nodes.
+// Defines ConfigRelay, which passes the configuration on between nodes, and the news that endpoints
+// have changed.
 #pragma once
 
 #include <cstdint>
@@ -16,11 +17,13 @@
 #include "http_query.h"
 #include "metrics.h"
 #include "peer_client.h"
+#include "random_source.h"
 
 namespace guavatrail {
 
 // A follower asks its source for anything newer than what it has; the source answers when it has
-// it, or after a short wait, and says how long ago the platform confirmed what it has.
+// it, or after a short wait, and says how long ago the platform confirmed what it has. Question and
+// answer also name the revision of the endpoints that each side knows; see endpoint_relay.h.
 class ConfigRelay {
  public:
   struct Hooks {
@@ -28,13 +31,22 @@
     std::function<void(std::shared_ptr<const ConfigTable>)> adopt;
     // Whether this node should follow the platform itself.
     std::function<void(bool)> watch_platform;
+    // Revision of the endpoints that this node knows.
+    std::function<uint64_t()> endpoint_revision = [] { return uint64_t{0}; };
+    // The same, with what has been asked for.
+    std::function<uint64_t()> expected_endpoint_revision = [] { return uint64_t{0}; };
+    // The source knows the endpoints at this revision.
+    std::function<void(const Endpoint& source, uint64_t revision)> source_has_endpoints =
+        [](const Endpoint&, uint64_t) {};
   };
 
-  ConfigRelay(EventLoop& loop, Candidate self, std::string local_ip, Metrics& metrics, Hooks hooks);
+  ConfigRelay(EventLoop& loop, Candidate self, std::string local_ip, Metrics& metrics,
+              RandomSource& random, Hooks hooks);
 
   // Commands.
   void Start();
   void Stop();
+  // The endpoints known now; those who wait for news of them are answered.
   void SetEndpoints(std::shared_ptr<const EndpointList> endpoints);
   // The table in force, from whatever source.
   void SetTable(std::shared_ptr<const ConfigTable> table);
@@ -44,17 +56,25 @@
   void Answer(std::unique_ptr<DownstreamRequest> request);
 
  private:
+  // What an asker has.
+  struct Known {
+    uint64_t version = 0;
+    uint64_t endpoint_revision = 0;
+  };
   struct Waiting {
     std::unique_ptr<DownstreamRequest> request;
+    Known known;
     std::unique_ptr<Timer> timer;
   };
 
   void Step();
+  bool IsPlatformSilent() const;
+  bool HasNewsFor(const Known& known) const;
   void Ask(const std::string& node);
   void OnOverdue();
   void OnReply(uint64_t number, const std::optional<HttpReply>& reply);
   bool TakeReply(const std::string& node, uint64_t known, const std::optional<HttpReply>& reply);
-  void AnswerNow(std::unique_ptr<DownstreamRequest> request, uint64_t known);
+  void AnswerNow(std::unique_ptr<DownstreamRequest> request, const Known& known);
   void EncodeOnce();
   const std::string* ChangeFrom(uint64_t known);
   std::shared_ptr<const ConfigTable> TableIn(const HttpReply& reply);
@@ -63,6 +83,7 @@
   uint64_t version() const { return m_table == nullptr ? 0 : m_table->version(); }
 
   EventLoop& m_loop;
+  RandomSource& m_random;
   Hooks m_hooks;
   ConfigSourcePolicy m_policy;
   PeerClient m_peers;
@@ -87,7 +108,7 @@
   };
   std::map<uint64_t, Question> m_open;
   uint64_t m_next_question = 1;
-  bool m_has_lost_source = false;  // The last question had no answer in time.
+  bool m_has_lost_source = false;  // The last question had no answer in time, or a stale one.
   uint64_t m_current = 0;          // The question that is not overdue yet; 0: none.
   std::map<uint64_t, Waiting> m_waiting;
   uint64_t m_next_waiting = 1;
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -1,9 +1,11 @@
-// Defines ConfigSourcePolicy, which decides where a node gets the configuration from: from the
-// platform, or from a node that watches the platform. Pure: the clock is handed in.
+// Defines ConfigSourcePolicy, which decides where a node gets configuration and endpoints from:
+// from the platform, or from a node that watches the platform. Pure: clock and random numbers are
+// handed in.
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -27,6 +29,9 @@
 // none. A node whose watcher has gone silent, or has itself not heard from the platform for a
 // while, turns to another watcher, and when that does not help to the platform. Views that differ
 // cost a few calls and do no harm.
+// An outage of the platform makes all watchers stale at once. So a node that has found several
+// living and stale tries the platform only after a random time, and after a trial without an answer
+// asks its sources in turn for a while: the first watcher that the platform serves again helps all.
 class ConfigSourcePolicy {
  public:
   struct Options {
@@ -38,7 +43,11 @@
     // Time for which a source that failed is left alone.
     int64_t avoid_us = 4'000'000;
     // Watchers that are tried before the platform.
-    size_t sources = 2;
+    size_t sources = 4;
+    // The platform is left alone for half of this time up to all of it after a trial that failed,
+    // and for up to this time once so many living sources are stale.
+    int64_t platform_pause_us = 4'000'000;
+    size_t outage_witnesses = 3;
   };
 
   ConfigSourcePolicy(Candidate self, Options options)
@@ -48,11 +57,16 @@
   // All nodes that may watch, this one perhaps among them.
   void SetCandidates(const std::vector<Candidate>& candidates);
   // A source answered with a confirmation of this age, in time or late; too old a one is a failure.
-  void Answered(std::string_view node, int64_t age_us, int64_t now_us);
+  // `unit` is uniform in [0, 1).
+  void Answered(std::string_view node, int64_t age_us, int64_t now_us, double unit);
   void Failed(std::string_view node, int64_t now_us);
+  // The platform has not answered this node in the time of a trial.
+  void PlatformFailed(int64_t now_us, double unit);
 
   // Queries.
   ConfigSource SourceAt(int64_t now_us) const;
+  // Whether `node` has failed of late, and is asked only for want of a better source.
+  bool IsAvoided(std::string_view node, int64_t now_us) const;
   bool is_watcher() const { return m_is_watcher; }
 
  private:
@@ -61,6 +75,9 @@
   bool m_is_watcher = false;
   std::vector<std::string> m_sources;  // In the order of preference.
   std::map<std::string, int64_t, std::less<>> m_avoided_until_us;
+  std::set<std::string, std::less<>>
+      m_stale;  // Sources that answer and were stale since one was fresh.
+  int64_t m_platform_avoided_until_us = 0;
 };
 
 }  // namespace guavatrail
--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -6,15 +6,32 @@
 
 namespace guavatrail {
 
-void EndpointDirectory::Put(Endpoint endpoint) {
+void EndpointDirectory::Put(Endpoint endpoint, uint64_t revision) {
+  auto it = m_entries.find(endpoint.node);
+  bool is_known = it != m_entries.end() && it->second.gone_since_us < 0;
+  if (is_known && revision <= it->second.revision) {
+    it->second.is_read = true;
+    return;
+  }
+  m_log.Changed(endpoint.node);
+  Entry& entry = m_entries[endpoint.node];
+  entry = {std::move(endpoint), revision, -1, true};
+  m_list.reset();
+}
+
+void EndpointDirectory::PutOwn(Endpoint endpoint) {
   Entry& entry = m_entries[endpoint.node];
-  entry = {std::move(endpoint), -1, true};
+  entry.endpoint = std::move(endpoint);
+  entry.gone_since_us = -1;
   m_list.reset();
 }
 
+// An entry that was not known, or is gone already, may be known to a node that asks for changes.
 void EndpointDirectory::Remove(std::string_view node, int64_t now_us) {
+  m_log.Changed(std::string(node));
   auto it = m_entries.find(node);
-  if (it != m_entries.end() && it->second.gone_since_us < 0) it->second.gone_since_us = now_us;
+  if (it == m_entries.end() || it->second.gone_since_us >= 0) return;
+  it->second.gone_since_us = now_us;
 }
 
 void EndpointDirectory::StartReading() {
@@ -23,9 +40,58 @@
 
 void EndpointDirectory::FinishReading(int64_t now_us) {
   for (auto& [node, entry] : m_entries) {
-    if (!entry.is_read && entry.gone_since_us < 0) entry.gone_since_us = now_us;
+    if (!entry.is_read && entry.gone_since_us < 0) Remove(node, now_us);
     entry.is_read = true;
   }
+  m_log.ReadAnew();
+}
+
+void EndpointDirectory::Reached(uint64_t revision) { m_log.Reached(revision); }
+
+void EndpointDirectory::Apply(const EndpointUpdate& update, int64_t now_us) {
+  if (update.revision <= revision()) return;
+  if (update.is_whole) StartReading();
+  for (const EndpointEntry& entry : update.entries) {
+    if (entry.is_gone) {
+      Remove(entry.endpoint.node, now_us);
+    } else {
+      Put(entry.endpoint, entry.revision);
+    }
+  }
+  if (update.is_whole) FinishReading(now_us);
+  Reached(update.revision);
+}
+
+EndpointEntry EndpointDirectory::StateOf(const std::string& node, const Entry* entry) {
+  EndpointEntry state;
+  state.is_gone = entry == nullptr || entry->gone_since_us >= 0;
+  if (state.is_gone) {
+    state.endpoint.node = node;
+  } else {
+    state.endpoint = entry->endpoint;
+    state.revision = entry->revision;
+  }
+  return state;
+}
+
+// Names of changed entries are kept, and their present state is sent, so the order in which updates
+// arrive does not matter.
+std::optional<EndpointUpdate> EndpointDirectory::UpdateSince(uint64_t known) const {
+  if (known >= revision()) return std::nullopt;
+  EndpointUpdate update{.revision = revision()};
+  std::optional<std::vector<std::string>> changed = m_log.ChangedSince(known);
+  if (!changed) {
+    update.is_whole = true;
+    for (const auto& [node, entry] : m_entries) {
+      if (entry.gone_since_us < 0) update.entries.push_back(StateOf(node, &entry));
+    }
+    return update;
+  }
+  for (const std::string& node : *changed) {
+    auto it = m_entries.find(node);
+    update.entries.push_back(StateOf(node, it == m_entries.end() ? nullptr : &it->second));
+  }
+  return update;
 }
 
 bool EndpointDirectory::Expire(int64_t now_us) {
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -44,6 +44,8 @@
 inline constexpr char kFencePath[] = "/guavatrail/v1/fence";
 // The configuration in force; see config_relay.h.
 inline constexpr char kConfigPath[] = "/guavatrail/v1/config";
+// Changes of the endpoints; see endpoint_relay.h.
+inline constexpr char kEndpointsPath[] = "/guavatrail/v1/endpoints";
 inline constexpr std::string_view kProbePathPrefix = "/guavatrail/v1/request/";
 
 inline constexpr char kOutcomeAnswered[] = "answered";
--- a/src/server_registry.cc
+++ b/src/server_registry.cc
@@ -7,6 +7,14 @@
 // Lifetimes that are over and may still be named by late reports.
 constexpr size_t kMaxOver = 64;
 
+// Whether `report` says more of the server at the address than `known`.
+bool IsNewer(const ServerReport& report, const ServerReport& known) {
+  if (report.lifetime != known.lifetime) {
+    return report.lifetime.started_ms > known.lifetime.started_ms;
+  }
+  return report.state == ServerState::kLeft || report.sequence > known.sequence;
+}
+
 }  // namespace
 
 std::string_view ToString(ServerState state) {
@@ -58,6 +66,7 @@
     bool is_changed = report.state != known.state || report.slots != known.slots;
     known = report;
     m_current->reported_us = now_us;
+    m_current->is_restored = false;
     return is_changed ? ReportOutcome::kChanged : ReportOutcome::kRefreshed;
   }
   if (m_current) {
@@ -66,7 +75,7 @@
     if (report.lifetime.started_ms < known.started_ms) return ReportOutcome::kStale;
     End(known);
   }
-  m_current = LocalServer{report, now_us};
+  m_current = LocalServer{report, now_us, false};
   return ReportOutcome::kChanged;
 }
 
@@ -74,7 +83,7 @@
   if (!m_current || m_current->report.lifetime.id != id) {
     if (started_ms) {
       End({std::string(id), *started_ms});
-    } else if (!m_current) {
+    } else if (!m_current && m_left_ids.size() < kMaxOver) {
       m_left_ids.emplace(id);
     }
     return ReportOutcome::kStale;
@@ -90,9 +99,18 @@
   return is_changed ? ReportOutcome::kChanged : ReportOutcome::kRefreshed;
 }
 
+// Reports and leaves may come before the stored report has been read; none of them may be undone by
+// it, and a late one among them must not undo it.
 void ServerRegistry::Restore(const ServerReport& report, int64_t now_us) {
-  if (report.state == ServerState::kLeft) End(report.lifetime);
-  if (!m_current) m_current = LocalServer{report, now_us};
+  ServerReport restored = report;
+  bool has_left = m_left_ids.erase(restored.lifetime.id) > 0 || IsOver(restored.lifetime);
+  if (has_left) restored.state = ServerState::kLeft;
+  if (restored.state == ServerState::kLeft) End(restored.lifetime);
+  if (m_current && !IsNewer(restored, m_current->report)) return;
+  if (m_current && m_current->report.lifetime != restored.lifetime) {
+    End(m_current->report.lifetime);
+  }
+  m_current = LocalServer{restored, now_us, true};
 }
 
 void ServerRegistry::Disown(const ServerLifetime& lifetime) {
--- a/src/server_registry.h
+++ b/src/server_registry.h
@@ -53,6 +53,7 @@
   struct LocalServer {
     ServerReport report;  // The newest one.
     int64_t reported_us = 0;
+    bool is_restored = false;  // Known from storage only: no report has come since the start.
   };
 
   // Reports must name `service` and `address`.
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -53,8 +53,10 @@
   void OpenGate(const std::string& server_id, int slots);
   // Refuses new work as not run. What is queued still runs for `queue_time`, what runs goes on.
   void CloseGate(std::string_view reason, std::chrono::milliseconds queue_time);
-  // Takes the questions of other nodes for the configuration.
-  void SetConfigHandler(HttpListener::Handler handler) { m_config_handler = std::move(handler); }
+  // Takes what other nodes ask at one of the nodes' own paths.
+  void SetPathHandler(const std::string& path, HttpListener::Handler handler) {
+    m_path_handlers[path] = std::move(handler);
+  }
   // Large answers are paced, and kinds that have them are refused while the link is behind.
   void SetPacer(LinkPacer& pacer) {
     m_pacer = &pacer;
@@ -120,7 +122,7 @@
   EventLoop& m_loop;
   OuterProtocol m_protocol;
   ServerObserver m_observer;
-  HttpListener::Handler m_config_handler;
+  std::map<std::string, HttpListener::Handler, std::less<>> m_path_handlers;
   LinkPacer* m_pacer = nullptr;
   AnswerSizes m_answer_sizes;
   Gate m_gate;
--- a/src/serving_proxy_paths.cc
+++ b/src/serving_proxy_paths.cc
@@ -11,8 +11,8 @@
     IssueKey(std::move(request));
   } else if (path == kFencePath && request->method() == EVHTTP_REQ_POST) {
     Fence(std::move(request));
-  } else if (path == kConfigPath && m_config_handler) {
-    m_config_handler(std::move(request));
+  } else if (auto it = m_path_handlers.find(path); it != m_path_handlers.end()) {
+    it->second(std::move(request));
   } else if (path.starts_with(kProbePathPrefix) && request->method() == EVHTTP_REQ_GET) {
     Probe(std::move(request));
   } else {
--- a/test/correctness/config_changes_travel_as_notes_test.cc
+++ b/test/correctness/config_changes_travel_as_notes_test.cc
@@ -43,9 +43,9 @@
 class ConfigRelayPair : public testing::Test {
  protected:
   ConfigRelayPair()
-      : m_source(m_loop, {"node-1", "braga"}, "", m_metrics,
+      : m_source(m_loop, {"node-1", "braga"}, "", m_metrics, m_random,
                  {.adopt = [](auto) {}, .watch_platform = [](bool) {}}),
-        m_follower(m_loop, {"node-2", "braga"}, "", m_metrics,
+        m_follower(m_loop, {"node-2", "braga"}, "", m_metrics, m_random,
                    {.adopt =
                         [this](auto table) {
                           m_adopted = table;
@@ -74,6 +74,7 @@
 
   EventLoop m_loop;
   Metrics m_metrics;
+  RandomSource m_random{7};
   bool m_watches = false;
   int m_questions = 0;
   std::shared_ptr<const ConfigTable> m_adopted;
--- a/test/correctness/config_source_falls_back_test.cc
+++ b/test/correctness/config_source_falls_back_test.cc
@@ -91,13 +91,92 @@
     ConfigSourcePolicy policy = PolicyOf(self, fleet);
     if (policy.is_watcher()) continue;
     std::string first = std::get<FromNode>(policy.SourceAt(0)).node;
-    policy.Answered(first, kSecondUs / 2, 0);
+    policy.Answered(first, kSecondUs / 2, 0, 0.5);
     EXPECT_EQ(policy.SourceAt(0), ConfigSource(FromNode{first}));
-    policy.Answered(first, kSecondUs + 1, 0);
+    policy.Answered(first, kSecondUs + 1, 0, 0.5);
     EXPECT_NE(policy.SourceAt(0), ConfigSource(FromNode{first}));
   }
 }
 
+// A fleet with as many watchers as data centres, so that a follower knows several.
+std::vector<Candidate> LargeFleet() {
+  std::vector<Candidate> candidates;
+  for (char data_centre = 'a'; data_centre < 'g'; ++data_centre) {
+    for (int i = 0; i < 50; ++i) {
+      std::string name = "dc-" + std::string(1, data_centre);
+      candidates.push_back({name + "-" + std::to_string(i), name});
+    }
+  }
+  return candidates;
+}
+
+// Says of each source in turn that it lives and is stale; returns how many there were.
+int MakeAllStale(ConfigSourcePolicy& policy, int64_t now_us, double unit) {
+  int count = 0;
+  for (; count < 10; ++count) {
+    ConfigSource source = policy.SourceAt(now_us);
+    const auto* node = std::get_if<FromNode>(&source);
+    if (node == nullptr || policy.IsAvoided(node->node, now_us)) break;
+    policy.Answered(node->node, 2 * kSecondUs, now_us, unit);
+  }
+  return count;
+}
+
+// Guards against a whole fleet that calls a platform which is down, because its watchers are stale.
+TEST(ConfigSourceFallsBack, InAnOutageTheFleetTriesThePlatformSpreadInTimeAndSeldom) {
+  std::vector<Candidate> fleet = LargeFleet();
+  constexpr int64_t kOutageUs = 5 * kSecondUs;
+  constexpr int64_t kTrialUs = 700'000;
+  int trials = 0;
+  int first_second = 0;
+  int followers = 0;
+  for (size_t i = 0; i < fleet.size(); ++i) {
+    ConfigSourcePolicy policy = PolicyOf(fleet[i], fleet);
+    if (policy.is_watcher()) continue;
+    ++followers;
+    double unit = static_cast<double>(i) / static_cast<double>(fleet.size());
+    for (int64_t now_us = 0; now_us < kOutageUs; now_us += kTrialUs) {
+      MakeAllStale(policy, now_us, unit);
+      if (policy.SourceAt(now_us) != ConfigSource(FromPlatform{})) continue;
+      ++trials;
+      if (now_us < kSecondUs) ++first_second;
+      policy.PlatformFailed(now_us, unit);
+    }
+  }
+  EXPECT_LE(trials, 2 * followers);
+  EXPECT_LE(first_second, followers / 2);
+}
+
+TEST(ConfigSourceFallsBack, AfterAFailedTrialSourcesAreAskedInTurnUntilOneIsFresh) {
+  std::vector<Candidate> fleet = LargeFleet();
+  ConfigSourcePolicy policy = PolicyOf(fleet[7], fleet);
+  ASSERT_FALSE(policy.is_watcher());
+  ASSERT_EQ(MakeAllStale(policy, 0, 0.0), 4);
+  ASSERT_EQ(policy.SourceAt(0), ConfigSource(FromPlatform{}));
+  policy.PlatformFailed(0, 0.0);
+  std::set<std::string> asked;
+  for (int64_t now_us = 1; now_us <= 4; ++now_us) {
+    std::string node = std::get<FromNode>(policy.SourceAt(now_us)).node;
+    asked.insert(node);
+    policy.Answered(node, 2 * kSecondUs, now_us, 0.0);
+  }
+  EXPECT_EQ(asked.size(), 4U);
+  std::string regained = std::get<FromNode>(policy.SourceAt(5)).node;
+  policy.Answered(regained, 0, 5, 0.0);
+  EXPECT_EQ(policy.SourceAt(6), ConfigSource(FromNode{regained}));
+}
+
+// Two watchers that are cut off from the platform must not hold a change back.
+TEST(ConfigSourceFallsBack, TwoStaleSourcesAreNoOutage) {
+  std::vector<Candidate> fleet = Fleet(5);
+  for (const Candidate& self : fleet) {
+    ConfigSourcePolicy policy = PolicyOf(self, fleet);
+    if (policy.is_watcher()) continue;
+    ASSERT_EQ(MakeAllStale(policy, 0, 0.9), 2);
+    EXPECT_EQ(policy.SourceAt(0), ConfigSource(FromPlatform{}));
+  }
+}
+
 TEST(ConfigSourceFallsBack, ANodeAloneWatches) {
   ConfigSourcePolicy policy = PolicyOf({"a", "braga"}, {});
   EXPECT_EQ(policy.SourceAt(0), ConfigSource(FromPlatform{}));
--- a/test/correctness/endpoint_directory_outlasts_lapses_test.cc
+++ b/test/correctness/endpoint_directory_outlasts_lapses_test.cc
@@ -18,11 +18,14 @@
     return endpoint;
   }
 
+  void Put(const Endpoint& endpoint) { m_directory.Put(endpoint, ++m_revision); }
+
+  uint64_t m_revision = 0;
   EndpointDirectory m_directory{{.lapse_grace_us = 3 * kSecondUs}};
 };
 
 TEST_F(EndpointDirectoryOutlastsLapses, ARemovedEntryStaysForTheGrace) {
-  m_directory.Put(EndpointOf("a"));
+  Put(EndpointOf("a"));
   m_directory.Remove("a", 10 * kSecondUs);
   EXPECT_EQ(m_directory.NextExpiryUs(), 13 * kSecondUs);
   EXPECT_FALSE(m_directory.Expire(12 * kSecondUs));
@@ -43,27 +46,27 @@
   };
   Endpoint other = at_address("other", 1);
   other.ip = "10.1.0.9";
-  m_directory.Put(other);
-  m_directory.Put(at_address("later", 2000));
-  m_directory.Put(at_address("lost", 1000));
+  Put(other);
+  Put(at_address("later", 2000));
+  Put(at_address("lost", 1000));
   EXPECT_EQ(m_directory.list()->FindNode("lost"), nullptr);
   EXPECT_NE(m_directory.list()->FindNode("later"), nullptr);
   EXPECT_NE(m_directory.list()->FindNode("other"), nullptr);
 }
 
 TEST_F(EndpointDirectoryOutlastsLapses, AnEntryWrittenAgainStays) {
-  m_directory.Put(EndpointOf("a"));
+  Put(EndpointOf("a"));
   m_directory.Remove("a", 10 * kSecondUs);
-  m_directory.Put(EndpointOf("a"));
+  Put(EndpointOf("a"));
   EXPECT_FALSE(m_directory.NextExpiryUs());
   EXPECT_FALSE(m_directory.Expire(20 * kSecondUs));
 }
 
 TEST_F(EndpointDirectoryOutlastsLapses, AFullReadingFindsWhatIsMissing) {
-  m_directory.Put(EndpointOf("a"));
-  m_directory.Put(EndpointOf("b"));
+  Put(EndpointOf("a"));
+  Put(EndpointOf("b"));
   m_directory.StartReading();
-  m_directory.Put(EndpointOf("b"));
+  Put(EndpointOf("b"));
   m_directory.FinishReading(kSecondUs);
   EXPECT_EQ(m_directory.NextExpiryUs(), 4 * kSecondUs);
   m_directory.Expire(4 * kSecondUs);
@@ -72,7 +75,7 @@
 }
 
 TEST_F(EndpointDirectoryOutlastsLapses, ARepeatedRemovalDoesNotProlongTheGrace) {
-  m_directory.Put(EndpointOf("a"));
+  Put(EndpointOf("a"));
   m_directory.Remove("a", kSecondUs);
   m_directory.Remove("a", 2 * kSecondUs);
   EXPECT_EQ(m_directory.NextExpiryUs(), 4 * kSecondUs);
--- /dev/null
+++ b/test/correctness/endpoint_updates_lead_to_the_same_state_test.cc
@@ -0,0 +1,232 @@
+// Guards against a follower whose endpoints differ from those of its source for good: a change that
+// is lost, or undone by an older state, when sources are changed, updates are lost or repeated, or
+// more has changed than a source remembers.
+#include <gtest/gtest.h>
+
+#include "endpoint_codec.h"
+#include "endpoint_directory.h"
+#include "random_source.h"
+
+namespace guavatrail {
+namespace {
+
+Endpoint EndpointOf(const std::string& node, uint64_t incarnation = 1) {
+  Endpoint endpoint;
+  endpoint.node = node;
+  endpoint.incarnation = incarnation;
+  endpoint.service = "catalogo";
+  endpoint.ip = "10.0.0.1";
+  endpoint.peer_port = 7620;
+  return endpoint;
+}
+
+// Names and incarnations of the entries that are not gone.
+std::map<std::string, uint64_t> StateOf(const EndpointDirectory& directory) {
+  std::map<std::string, uint64_t> state;
+  std::optional<EndpointUpdate> all = directory.UpdateSince(0);
+  if (!all) return state;
+  for (const EndpointEntry& entry : all->entries) {
+    if (!entry.is_gone) state[entry.endpoint.node] = entry.endpoint.incarnation;
+  }
+  return state;
+}
+
+// The store's records, and the changes of each revision.
+struct ModelStore {
+  struct Change {
+    std::string node;
+    uint64_t incarnation = 0;  // 0: removed.
+  };
+  std::map<std::string, uint64_t> records;
+  std::vector<Change> changes;  // Of revision 1, 2, and so on.
+
+  void Step(RandomSource& random, uint64_t nodes) {
+    std::string node = "node-" + std::to_string(random.Below(nodes));
+    bool removes = records.contains(node) && random.Below(3) == 0;
+    uint64_t incarnation = removes ? 0 : changes.size() + 1;
+    if (removes) {
+      records.erase(node);
+    } else {
+      records[node] = incarnation;
+    }
+    changes.push_back({node, incarnation});
+  }
+};
+
+// A node that follows the store, and sees its changes in batches.
+struct ModelWatcher {
+  EndpointDirectory directory;
+  uint64_t seen = 0;
+
+  void Read(const ModelStore& store, uint64_t revision) {
+    for (; seen < revision; ++seen) {
+      const ModelStore::Change& change = store.changes[seen];
+      if (change.incarnation == 0) {
+        directory.Remove(change.node, 0);
+      } else {
+        directory.Put(EndpointOf(change.node, change.incarnation), seen + 1);
+      }
+    }
+    directory.Reached(revision);
+  }
+
+  // As after a history that the store has dropped.
+  void ReadAll(const ModelStore& store) {
+    directory.StartReading();
+    for (const auto& [node, incarnation] : store.records) {
+      directory.Put(EndpointOf(node, incarnation), incarnation);
+    }
+    directory.FinishReading(0);
+    seen = store.changes.size();
+    directory.Reached(seen);
+  }
+};
+
+EndpointUpdate Transmitted(const EndpointUpdate& update) {
+  auto decoded = DecodeEndpoints(EncodeEndpoints(update));
+  EXPECT_TRUE(decoded);
+  return *decoded;
+}
+
+TEST(EndpointUpdates, OnlyChangesAreSent) {
+  EndpointDirectory source;
+  for (int i = 0; i < 50; ++i) source.Put(EndpointOf("node-" + std::to_string(i)), 10);
+  source.Reached(10);
+  EndpointDirectory follower;
+  follower.Apply(Transmitted(*source.UpdateSince(follower.revision())), 0);
+  EXPECT_EQ(StateOf(follower), StateOf(source));
+  EXPECT_FALSE(source.UpdateSince(follower.revision()));
+  source.Put(EndpointOf("node-7", 2), 11);
+  source.Remove("node-8", 0);
+  source.Reached(12);
+  std::optional<EndpointUpdate> update = source.UpdateSince(follower.revision());
+  ASSERT_TRUE(update);
+  EXPECT_FALSE(update->is_whole);
+  EXPECT_EQ(update->entries.size(), 2U);
+  follower.Apply(Transmitted(*update), 0);
+  EXPECT_EQ(StateOf(follower), StateOf(source));
+}
+
+TEST(EndpointUpdates, WhoIsTooFarBehindGetsAll) {
+  EndpointDirectory source;
+  source.Put(EndpointOf("first"), 1);
+  source.Reached(1);
+  EndpointDirectory follower;
+  follower.Apply(*source.UpdateSince(0), 0);
+  for (uint64_t revision = 2; revision < 3000; ++revision) {
+    source.Put(EndpointOf("node-" + std::to_string(revision % 7), revision), revision);
+    source.Reached(revision);
+  }
+  std::optional<EndpointUpdate> update = source.UpdateSince(follower.revision());
+  ASSERT_TRUE(update);
+  EXPECT_TRUE(update->is_whole);
+  follower.Apply(*update, 0);
+  EXPECT_EQ(StateOf(follower), StateOf(source));
+}
+
+TEST(EndpointUpdates, AnOlderStateChangesNothing) {
+  EndpointDirectory source;
+  source.Put(EndpointOf("a", 1), 1);
+  source.Reached(1);
+  EndpointUpdate old = *source.UpdateSince(0);
+  source.Put(EndpointOf("a", 2), 2);
+  source.Reached(2);
+  EndpointDirectory follower;
+  follower.Apply(*source.UpdateSince(0), 0);
+  follower.Apply(old, 0);
+  EXPECT_EQ(StateOf(follower)["a"], 2U);
+}
+
+TEST(EndpointUpdates, AnEntryOfTheNodeItselfIsPassedOnWhenThePlatformHasIt) {
+  EndpointDirectory source;
+  source.Put(EndpointOf("self", 1), 1);
+  source.Reached(1);
+  Endpoint own = EndpointOf("self", 1);
+  own.draining = true;
+  source.PutOwn(own);
+  EXPECT_FALSE(source.UpdateSince(1));
+  source.Put(own, 2);
+  source.Reached(2);
+  ASSERT_TRUE(source.UpdateSince(1));
+  EXPECT_TRUE(source.UpdateSince(1)->entries[0].endpoint.draining);
+}
+
+// Guards against an entry that came and went unseen by the source, and stays at a follower that has
+// seen it elsewhere.
+TEST(EndpointUpdates, AnEntryThatTheSourceNeverKnewIsRemoved) {
+  EndpointDirectory other;
+  other.Put(EndpointOf("a"), 5);
+  other.Reached(5);
+  EndpointDirectory follower;
+  follower.Apply(*other.UpdateSince(0), 0);
+  EndpointDirectory source;
+  source.Put(EndpointOf("b"), 4);
+  source.Reached(4);
+  source.Remove("a", 0);
+  source.Reached(6);
+  follower.Apply(*source.UpdateSince(follower.revision()), 0);
+  EXPECT_FALSE(StateOf(follower).contains("a"));
+}
+
+TEST(EndpointUpdates, AfterAReadingOfAllWhoIsBehindGetsAll) {
+  EndpointDirectory source;
+  source.Put(EndpointOf("a"), 1);
+  source.Reached(1);
+  source.StartReading();
+  source.Put(EndpointOf("a"), 1);
+  source.FinishReading(0);
+  source.Reached(9);
+  EXPECT_FALSE(source.UpdateSince(1)) << "nothing has changed";
+  source.Put(EndpointOf("b"), 10);
+  source.Reached(10);
+  EXPECT_TRUE(source.UpdateSince(8)->is_whole);
+  EXPECT_FALSE(source.UpdateSince(9)->is_whole);
+}
+
+// Watchers see the store in batches of their own; followers change between watchers and other
+// followers, and lose answers. In the end all know what the store holds, and none went back.
+TEST(EndpointUpdates, FollowersOfChangingSourcesEndWithTheStateOfTheStore) {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    RandomSource random(seed);
+    ModelStore store;
+    std::vector<ModelWatcher> watchers(3);
+    std::vector<EndpointDirectory> followers(12);
+    for (int round = 0; round < 400; ++round) {
+      for (uint64_t i = random.Below(4); i > 0; --i) store.Step(random, 20);
+      ModelWatcher& watcher = watchers[random.Below(watchers.size())];
+      uint64_t unseen = store.changes.size() - watcher.seen;
+      if (random.Below(20) == 0) {
+        watcher.ReadAll(store);
+      } else {
+        watcher.Read(store, watcher.seen + random.Below(unseen + 1));
+      }
+      EndpointDirectory& follower = followers[random.Below(followers.size())];
+      uint64_t choice = random.Below(watchers.size() + followers.size());
+      EndpointDirectory& source = choice < watchers.size() ? watchers[choice].directory
+                                                           : followers[choice - watchers.size()];
+      std::optional<EndpointUpdate> update = source.UpdateSince(follower.revision());
+      bool is_lost = random.Below(5) == 0;
+      uint64_t before = follower.revision();
+      if (update && !is_lost) follower.Apply(Transmitted(*update), 0);
+      EXPECT_GE(follower.revision(), before);
+    }
+    for (ModelWatcher& watcher : watchers) watcher.Read(store, store.changes.size());
+    for (EndpointDirectory& follower : followers) {
+      auto update = watchers[0].directory.UpdateSince(follower.revision());
+      if (update) follower.Apply(*update, 0);
+      EXPECT_EQ(StateOf(follower), store.records) << "seed " << seed;
+    }
+  }
+}
+
+TEST(EndpointUpdates, BytesThatAreNoUpdateAreRefused) {
+  EXPECT_FALSE(DecodeEndpoints("\xff\xff?"));
+  EndpointUpdate update{.revision = 3, .entries = {{.endpoint = EndpointOf("")}}};
+  EXPECT_FALSE(DecodeEndpoints(EncodeEndpoints(update)));
+  update.entries[0].endpoint = EndpointOf("a");
+  update.entries[0].endpoint.peer_port = 0;
+  EXPECT_FALSE(DecodeEndpoints(EncodeEndpoints(update)));
+}
+
+}  // namespace
+}  // namespace guavatrail
--- a/test/correctness/late_config_answers_count_test.cc
+++ b/test/correctness/late_config_answers_count_test.cc
@@ -29,7 +29,7 @@
                     m_last_question = question;
                     AnswerLater(c.number());
                   }),
-        m_relay(m_loop, {"node-1", "braga"}, "", m_metrics,
+        m_relay(m_loop, {"node-1", "braga"}, "", m_metrics, m_random,
                 {.adopt =
                      [this](auto table) {
                        m_adopted = table->version();
@@ -63,6 +63,7 @@
 
   EventLoop m_loop;
   Metrics m_metrics;
+  RandomSource m_random{7};
   uint64_t m_watcher_version = 1;
   uint64_t m_adopted = 0;
   bool m_watches_platform = false;
--- a/test/correctness/server_registry_follows_reports_test.cc
+++ b/test/correctness/server_registry_follows_reports_test.cc
@@ -92,6 +92,52 @@
   EXPECT_TRUE(m_registry.IsReady());
 }
 
+// A node that has just started may hear of its server before it has read its own record.
+TEST_F(ServerRegistryFollowsReports, ALeaveBeforeTheStoredReportIsReadHolds) {
+  m_registry.Leave("a", std::nullopt);
+  m_registry.Restore(ReportOf("a", 100, 6), 0);
+  EXPECT_FALSE(m_registry.IsReady());
+  EXPECT_EQ(Report(ReportOf("a", 100, 7)), ReportOutcome::kStale);
+}
+
+TEST_F(ServerRegistryFollowsReports, ALeaveWithAStartTimeBeforeTheStoredReportIsReadHolds) {
+  m_registry.Leave("a", 100);
+  m_registry.Restore(ReportOf("a", 100, 6), 0);
+  EXPECT_FALSE(m_registry.IsReady());
+}
+
+TEST_F(ServerRegistryFollowsReports, ALateReportBeforeTheStoredLeaveIsReadDoesNotUndoIt) {
+  EXPECT_EQ(Report(ReportOf("a", 100, 5)), ReportOutcome::kChanged);
+  m_registry.Restore(ReportOf("a", 100, 6, ServerState::kLeft), 0);
+  EXPECT_FALSE(m_registry.IsReady());
+  EXPECT_EQ(Report(ReportOf("a", 100, 7)), ReportOutcome::kStale);
+}
+
+TEST_F(ServerRegistryFollowsReports, ALateReportBeforeTheStoredDrainIsReadDoesNotUndoIt) {
+  Report(ReportOf("a", 100, 5));
+  m_registry.Restore(ReportOf("a", 100, 6, ServerState::kDraining), 0);
+  EXPECT_FALSE(m_registry.IsReady());
+}
+
+TEST_F(ServerRegistryFollowsReports, AReportBeforeTheStoredOneIsReadIsNotUndoneByIt) {
+  Report(ReportOf("a", 100, 7, ServerState::kDraining));
+  m_registry.Restore(ReportOf("a", 100, 6), 0);
+  EXPECT_FALSE(m_registry.IsReady());
+  Report(ReportOf("b", 200, 1));
+  m_registry.Restore(ReportOf("a", 100, 6, ServerState::kLeft), 0);
+  EXPECT_EQ(m_registry.current()->report.lifetime.id, "b");
+  EXPECT_TRUE(m_registry.IsReady());
+}
+
+TEST_F(ServerRegistryFollowsReports, AServerKnownFromStorageOnlyIsMarkedUntilItReports) {
+  m_registry.Restore(ReportOf("a", 100, 6), 0);
+  EXPECT_TRUE(m_registry.current()->is_restored);
+  EXPECT_EQ(Report(ReportOf("a", 100, 6)), ReportOutcome::kStale);
+  EXPECT_TRUE(m_registry.current()->is_restored);
+  EXPECT_EQ(Report(ReportOf("a", 100, 7)), ReportOutcome::kRefreshed);
+  EXPECT_FALSE(m_registry.current()->is_restored);
+}
+
 TEST_F(ServerRegistryFollowsReports, AServerFoundToBeAnotherOneIsForgotten) {
   Report(ReportOf("a", 100, 4));
   m_registry.Disown({"a", 100});
--- a/test/platform/mesh_node_test.cc
+++ b/test/platform/mesh_node_test.cc
@@ -123,6 +123,74 @@
   EXPECT_TRUE(m_serving->requests.empty());
 }
 
+// Guards against a server that left while its restarted node had not yet read what it knew of it.
+TEST_F(MeshNodeTest, ALeaveThatComesBeforeTheRecordIsReadHolds) {
+  StartPair();
+  m_serving->node.reset();
+  m_store.SetMode(FakeStore::Mode::kSilent);
+  StartNode(*m_serving);
+  auto leave = Send(m_serving->settings.listen.control_port, "DELETE", "/guavatrail/instances/i-1");
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  EXPECT_FALSE(leave->HasWholeAnswer()) << "acknowledged before it could be stored";
+  m_store.SetMode(FakeStore::Mode::kWell);
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return leave->HasWholeAnswer(); }));
+  EXPECT_EQ(leave->status(), 200);
+  RunFor(m_loop, std::chrono::milliseconds(1'500));
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+}
+
+// Guards against a late report that reaches a restarted node while the store is away, and brings a
+// server back that has left.
+TEST_F(MeshNodeTest, AStoredLeaveHoldsThoughALateReportCameFirst) {
+  StartPair();
+  EXPECT_EQ(Leave(*m_serving, "i-1"), 200);
+  m_serving->node.reset();
+  m_store.SetMode(FakeStore::Mode::kSilent);
+  StartNode(*m_serving);
+  Report(*m_serving, "i-1");
+  RunFor(m_loop, std::chrono::milliseconds(1'200));
+  m_store.SetMode(FakeStore::Mode::kWell);
+  RunFor(m_loop, std::chrono::milliseconds(1'500));
+  m_serving->requests.clear();
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+}
+
+// Guards against a leave that was acknowledged while the store was away, and forgotten with the
+// process: a server that says nothing any more is not served for longer than a moment.
+TEST_F(MeshNodeTest, ARestoredServerThatStaysSilentIsTakenOutOfUse) {
+  StartPair();
+  m_store.SetMode(FakeStore::Mode::kSilent);
+  EXPECT_EQ(Leave(*m_serving, "i-1"), 200);
+  m_serving->node.reset();
+  m_store.SetMode(FakeStore::Mode::kWell);
+  StartNode(*m_serving);
+  RunFor(m_loop, std::chrono::milliseconds(2'500));
+  m_serving->requests.clear();
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+  // A living server is back with its next report.
+  EXPECT_EQ(Report(*m_serving, "i-2", "ready", 2000), 200);
+  EXPECT_TRUE(CallUntil(*m_entry, "/parts/1", 200));
+}
+
+// Guards against a drain by an operator that ends with the node's process.
+TEST_F(MeshNodeTest, AnOperatorsDrainHoldsOverARestartOfTheNode) {
+  StartPair();
+  ASSERT_EQ(Ask(m_serving->settings.listen.admin_port, "POST", "/v1/drain")->status(), 202);
+  RunFor(m_loop, std::chrono::milliseconds(200));
+  m_serving->node.reset();
+  StartNode(*m_serving);
+  RunFor(m_loop, std::chrono::milliseconds(300));
+  EXPECT_EQ(Report(*m_serving, "i-1"), 200);
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+  // The server's next start is in use again.
+  EXPECT_EQ(Report(*m_serving, "i-1", "ready", 2000), 200);
+  EXPECT_TRUE(CallUntil(*m_entry, "/parts/1", 200));
+}
+
 TEST_F(MeshNodeTest, ARestartedNodeServesAgainWithoutAReport) {
   StartPair();
   m_serving->node.reset();
--- a/test/platform/store_followers_test.cc
+++ b/test/platform/store_followers_test.cc
@@ -23,8 +23,9 @@
                    .put = [this](const StoredObject& o) { m_seen[o.name] = o.spec; },
                    .removed = [this](const std::string& name) { m_seen.erase(name); },
                    .reading_finished = [] {},
-                   .confirmed = [] {}}),
-        m_keeper(m_loop, m_client, m_random, "node-1") {}
+                   .confirmed = [](uint64_t) {}}),
+        m_keeper(m_loop, m_client, m_random, "node-1",
+                 [this](const json& spec) { m_conflicts.push_back(spec); }) {}
 
   static NodeRecord RecordOf(uint64_t sequence, bool draining = false) {
     NodeRecord record;
@@ -48,6 +49,7 @@
   FakeStore m_store;
   StoreClient m_client;
   std::map<std::string, json> m_seen;
+  std::vector<json> m_conflicts;
   KindWatcher m_watcher;
   RecordKeeper m_keeper;
 };
@@ -115,6 +117,8 @@
   m_store.Put(kEndpointKind, "node-1", EncodeRecord(RecordOf(9, true)));
   m_keeper.Want(RecordOf(10));
   EXPECT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(10)); }));
+  ASSERT_EQ(m_conflicts.size(), 1U);
+  EXPECT_EQ(m_conflicts[0], EncodeRecord(RecordOf(9, true)));
 }
 
 TEST_F(StoreFollowers, ALostAnswerIsMadeGood) {
