--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -35,6 +35,8 @@
 constexpr std::chrono::milliseconds kRoleCheck{1'000};
 // A follower that has turned to the platform gives it this time to answer.
 constexpr std::chrono::milliseconds kPlatformTrial{700};
+// Nodes that one which starts asks for its first table before it turns to the platform.
+constexpr int kFirstQuestions = 2;
 // Between two questions.
 constexpr std::chrono::milliseconds kPause{5};
 // After a source that did not answer.
@@ -50,11 +52,11 @@
 }  // namespace
 
 ConfigRelay::ConfigRelay(EventLoop& loop, Candidate self, std::string local_ip, Metrics& metrics,
-                         RandomSource& random, Hooks hooks)
+                         RandomSource& random, Hooks hooks, ConfigSourcePolicy::Options options)
     : m_loop(loop),
       m_random(random),
       m_hooks(std::move(hooks)),
-      m_policy(std::move(self), {}),
+      m_policy(std::move(self), options),
       m_peers(loop, std::move(local_ip)),
       m_endpoints(std::make_shared<const EndpointList>()),
       m_replies(loop),
@@ -65,9 +67,16 @@
       m_deferred(loop) {}
 
 void ConfigRelay::Start() {
+  if (m_is_running) return;
   m_is_running = true;
-  m_hooks.watch_platform(true);
-  m_timer.Start(kRoleCheck);
+  m_source = SourceNow();
+  m_hooks.watch_platform(std::holds_alternative<FromPlatform>(m_source));
+  m_timer.Start(std::holds_alternative<FromPlatform>(m_source) ? kRoleCheck : kPause);
+}
+
+ConfigSource ConfigRelay::SourceNow() const {
+  if (version() == 0 && m_first_questions >= kFirstQuestions) return FromPlatform{};
+  return m_policy.SourceAt(EventLoop::NowUs());
 }
 
 void ConfigRelay::Stop() {
@@ -123,7 +132,7 @@
   if (is_from_platform && !m_policy.is_watcher() && IsPlatformSilent()) {
     m_policy.PlatformFailed(now_us, m_random.Unit());
   }
-  ConfigSource source = version() == 0 ? FromPlatform{} : m_policy.SourceAt(now_us);
+  ConfigSource source = SourceNow();
   if (source != m_source) {
     LOG(INFO) << "event=config_source source=" << Describe(source)
               << " before=" << Describe(m_source) << " version=" << version()
@@ -149,7 +158,9 @@
   m_questions.Add();
   UpstreamRequest request{.method = EVHTTP_REQ_GET, .uri = kConfigPath};
   // A node that has lost its source wants to know at once whether it has missed a change.
-  std::chrono::milliseconds wait = m_has_lost_source ? std::chrono::milliseconds(0) : kWait;
+  bool is_in_a_hurry = m_has_lost_source || version() == 0;
+  std::chrono::milliseconds wait = is_in_a_hurry ? std::chrono::milliseconds(0) : kWait;
+  if (version() == 0) ++m_first_questions;
   request.headers = {{kVersionHeader, std::to_string(version())},
                      {kEndpointsHeader, std::to_string(m_hooks.expected_endpoint_revision())},
                      {kWaitHeader, std::to_string(wait.count())}};
@@ -217,6 +228,8 @@
   }
   m_confirmed_us = std::max(m_confirmed_us, now_us - age_us);
   auto answer_version = static_cast<uint64_t>(NumberIn(reply->headers, kVersionHeader));
+  // A source that has just started itself is of no use yet.
+  if (answer_version == 0) m_policy.Failed(node, now_us);
   if (reply->status != kHttpOk || answer_version <= version()) return true;
   // Another answer was faster; the next question starts from its table.
   bool is_change = FindHeader(reply->headers, kChangeHeader) != nullptr;
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -41,9 +41,11 @@
   };
 
   ConfigRelay(EventLoop& loop, Candidate self, std::string local_ip, Metrics& metrics,
-              RandomSource& random, Hooks hooks);
+              RandomSource& random, Hooks hooks, ConfigSourcePolicy::Options options = {});
 
   // Commands.
+  // To be called when the endpoints are known, or cannot be had: a node that starts takes the
+  // configuration from another one if it can.
   void Start();
   void Stop();
   // The endpoints known now; those who wait for news of them are answered.
@@ -68,6 +70,7 @@
   };
 
   void Step();
+  ConfigSource SourceNow() const;
   bool IsPlatformSilent() const;
   bool HasNewsFor(const Known& known) const;
   void Ask(const std::string& node);
@@ -108,6 +111,7 @@
   };
   std::map<uint64_t, Question> m_open;
   uint64_t m_next_question = 1;
+  int m_first_questions = 0;       // Before the first table came.
   bool m_has_lost_source = false;  // The last question had no answer in time, or a stale one.
   uint64_t m_current = 0;          // The question that is not overdue yet; 0: none.
   std::map<uint64_t, Waiting> m_waiting;
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -38,7 +38,7 @@
     // A node watches for this many; at least two data centres have a watcher, and none has two.
     size_t nodes_per_watcher = 32;
     // Age of a confirmation by the platform over which a watcher is of no use. Together with the
-    // time to ask elsewhere it stays below the two seconds in which a change must be in force.
+    // time to ask elsewhere it must stay below the time in which a change must be in force.
     int64_t max_age_us = 1'000'000;
     // Time for which a source that failed is left alone.
     int64_t avoid_us = 4'000'000;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -138,6 +138,9 @@
       GUAVATRAIL_TEXT(calls, admission, false,
                       (TextRule{TextKind::kFixedChoice, {"slots", "unlimited"}}),
                       "How a serving node admits requests."),
+      GUAVATRAIL_REAL(delivery, convergence_s, false, 0.5, 60.0,
+                      "Seconds in which a change must be in force on every node; only with "
+                      "`platform.api = \"metadata_store\"`."),
       GUAVATRAIL_REAL(calls, retry_budget, false, 0.0, 1.0, "Retries allowed per call."),
       GUAVATRAIL_REAL(calls, shared_retry_reserve, false, 0.0, 1e6,
                       "Retries that all nodes together may save up for a service; 0: ten each."),
--- a/src/settings.h
+++ b/src/settings.h
@@ -72,6 +72,7 @@
   std::string mode = "relay";  // relay, watch_all or pull
   int64_t watchers_per_data_centre = 2;
   int64_t pull_timeout_ms = 500;
+  double convergence_s = 2.0;  // In which a change must be in force on every node.
   bool operator==(const DeliverySettings&) const = default;
 };
 
--- a/test/platform/mesh_node_test.cc
+++ b/test/platform/mesh_node_test.cc
@@ -64,6 +64,49 @@
   EXPECT_EQ(HeaderIn(m_serving->requests[0], "X-Expect-Instance"), "i-1");
 }
 
+// Guards against calls to the store that grow with the number of nodes where one node could tell
+// the others, and against a follower that misses what its source tells.
+TEST_F(MeshNodeTest, FollowersLearnOfServersWithoutTheStore) {
+  StartPair();
+  for (int i = 0; i < 4; ++i) AddMachine("manuais");
+  // Roles settle within a second.
+  for (size_t i = 2; i < m_machines.size(); ++i) {
+    ASSERT_EQ(Report(*m_machines[i], "i-m" + std::to_string(i)), 200);
+  }
+  RunFor(m_loop, std::chrono::milliseconds(2'500));
+  int before = m_store.calls();
+  PutConfig(8, "garantias");
+  Machine& joined = AddMachine("garantias");
+  ASSERT_EQ(Report(joined, "i-g"), 200);
+  EXPECT_TRUE(CallUntil(*m_entry, "/parts/1", 200));
+  EXPECT_FALSE(joined.requests.empty());
+  RunFor(m_loop, std::chrono::milliseconds(1'000));
+  // The one watcher's watches, the new node's reading and record, and what was under way.
+  EXPECT_LE(m_store.calls() - before, 12);
+}
+
+// Guards against a node that needs the store for what its neighbours know.
+TEST_F(MeshNodeTest, ARestartedNodeHasTheConfigurationFromAnotherOne) {
+  StartPair();
+  for (int i = 0; i < 2; ++i) AddMachine("manuais");
+  for (size_t i = 2; i < m_machines.size(); ++i) {
+    ASSERT_EQ(Report(*m_machines[i], "i-m" + std::to_string(i)), 200);
+  }
+  RunFor(m_loop, std::chrono::milliseconds(2'500));
+  int readings = 0;
+  for (auto& machine : m_machines) {
+    machine->node.reset();
+    RunFor(m_loop, std::chrono::milliseconds(200));
+    int before = m_store.readings_of("config");
+    StartNode(*machine);
+    ASSERT_TRUE(RunUntil(m_loop, [&] { return IsReady(*machine); }));
+    readings += m_store.readings_of("config") - before;
+    RunFor(m_loop, std::chrono::milliseconds(500));
+  }
+  // The watcher reads it for itself; the others take over from it for a moment at most.
+  EXPECT_LE(readings, 2);
+}
+
 TEST_F(MeshNodeTest, AnOlderConfigurationIsNotTakenUp) {
   StartPair();
   PutConfig(5, "elsewhere");
--- a/test/support/fake_store.cc
+++ b/test/support/fake_store.cc
@@ -57,6 +57,7 @@
   if (request->method() == EVHTTP_REQ_GET) {
     std::string watch = QueryValue(request->target(), "watch");
     if (watch.empty()) {
+      ++m_readings[kind];
       OnList(std::move(request), kind);
       return;
     }
--- a/test/support/fake_store.h
+++ b/test/support/fake_store.h
@@ -45,6 +45,11 @@
   const nlohmann::json* Find(const std::string& kind, const std::string& name) const;
   uint64_t revision() const { return m_revision; }
   int calls() const { return m_calls; }
+  // Readings of a whole kind.
+  int readings_of(const std::string& kind) const {
+    auto it = m_readings.find(kind);
+    return it == m_readings.end() ? 0 : it->second;
+  }
   int writes() const { return static_cast<int>(m_writes.size()); }
   size_t waiting() const { return m_waiting.size(); }
   size_t WaitingFor(const std::string& kind) const;
@@ -97,6 +102,7 @@
   uint64_t m_revision = 7;
   uint64_t m_oldest = 0;  // History up to here is gone.
   int m_calls = 0;
+  std::map<std::string, int> m_readings;
   std::map<std::string, std::map<std::string, Object>> m_kinds;
   std::vector<Change> m_history;
   std::list<std::unique_ptr<Watch>> m_waiting;
