--- a/src/placement.cc
+++ b/src/placement.cc
@@ -14,7 +14,7 @@
 // How many of its requests a server fails is told for longer, since it gets few while it is
 // avoided.
 constexpr double kFailingHalfLifeUs = 3'000'000;
-// A request that fails costs its caller as much as the wait for so many others.
+// A failed request costs its caller as much as a wait of so many service times.
 constexpr double kFailureCost = 4;
 // Assumed service time while no server has reported one.
 constexpr double kDefaultServiceUs = 5'000;
@@ -32,13 +32,14 @@
   return std::exp2(-static_cast<double>(candidate.load_age_us) / kReportHalfLifeUs);
 }
 
-// What a request costs its caller beyond its time on the server, as a factor: failed tries.
-double FailureFactor(const PlacementCandidate& candidate) {
+// What the chance of a failure costs the caller of a request, in service times. A failing server is
+// still of use when the wait everywhere else is longer.
+double FailureCost(const PlacementCandidate& candidate) {
   constexpr double kMaxShare = 0.95;
-  if (candidate.load.failing_percent <= 0 || candidate.load_age_us < 0) return 1;
+  if (candidate.load.failing_percent <= 0 || candidate.load_age_us < 0) return 0;
   double weight = std::exp2(-static_cast<double>(candidate.load_age_us) / kFailingHalfLifeUs);
   double share = std::min(kMaxShare, weight * candidate.load.failing_percent / 100);
-  return 1 + kFailureCost * share / (1 - share);
+  return kFailureCost * share / (1 - share);
 }
 
 // Requests that the server is believed to hold.
@@ -82,7 +83,7 @@
   }
   int slots = std::max(1, candidate.slots);
   double requests = RequestsAt(candidate) + (1 - weight) * neutral.requests_per_slot * slots;
-  return (requests + 1) / slots * service_us * FailureFactor(candidate);
+  return ((requests + 1) / slots + FailureCost(candidate)) * service_us;
 }
 
 std::optional<int64_t> TakeNumber(std::string_view& text, std::string_view name) {
