Count watchers by the fleet, and start a mesh from neighbours

The number of watchers followed the candidates, which are only the nodes with fast links: two for the whole fleet, stale in the same second. It follows the fleet now, one for 64 nodes (32 counted before were those of the candidates). Tests of a suspended node pass with the code as it was: a request whose sender has left meanwhile is given up before it reaches the server. A check for this at each request was tried and taken out.

--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -35,11 +35,12 @@
 constexpr std::chrono::milliseconds kRoleCheck{1'000};
 // A follower that has turned to the platform gives it this time to answer.
 constexpr std::chrono::milliseconds kPlatformTrial{700};
-// Nodes that one which starts asks for its first table before it turns to the platform.
-constexpr int kFirstQuestions = 2;
+// Questions of a node that starts for its first table before it turns to the platform. Where all
+// nodes start at once, its source needs a moment itself.
+constexpr int kFirstQuestions = 5;
 // Between two questions.
 constexpr std::chrono::milliseconds kPause{5};
-// After a source that did not answer.
+// After a source that did not answer, or has no table yet.
 constexpr std::chrono::milliseconds kNoAnswerPause{100};
 constexpr size_t kMaxTableBytes = 8'388'608;
 constexpr int64_t kUsPerMs = 1'000;
@@ -103,7 +104,7 @@
     if (endpoint.link_mbps < kWatcherLinkShare * fastest[endpoint.data_centre]) continue;
     candidates.push_back({endpoint.node, endpoint.data_centre});
   }
-  m_policy.SetCandidates(candidates);
+  m_policy.SetCandidates(candidates, m_endpoints->all().size());
   AnswerWaiting();
 }
 
@@ -204,7 +205,8 @@
   bool is_last_resort = is_useless && m_has_lost_source;
   m_has_lost_source = !is_answer || is_useless;
   m_overdue_timer.Cancel();
-  m_timer.Start(!is_answer ? kNoAnswerPause : is_last_resort ? kWait : kPause);
+  bool has_nothing = !is_answer || version() == 0;
+  m_timer.Start(has_nothing ? kNoAnswerPause : is_last_resort ? kWait : kPause);
 }
 
 // Whether it was an answer; a table that it holds is put in force.
@@ -228,8 +230,6 @@
   }
   m_confirmed_us = std::max(m_confirmed_us, now_us - age_us);
   auto answer_version = static_cast<uint64_t>(NumberIn(reply->headers, kVersionHeader));
-  // A source that has just started itself is of no use yet.
-  if (answer_version == 0) m_policy.Failed(node, now_us);
   if (reply->status != kHttpOk || answer_version <= version()) return true;
   // Another answer was faster; the next question starts from its table.
   bool is_change = FindHeader(reply->headers, kChangeHeader) != nullptr;
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -57,6 +57,9 @@
   // Answers a question of another node.
   void Answer(std::unique_ptr<DownstreamRequest> request);
 
+  // Query: whether this node knows whom to ask, or that it is to follow the platform itself.
+  bool has_role() const { return m_policy.has_role(); }
+
  private:
   // What an asker has.
   struct Known {
--- a/src/config_source.cc
+++ b/src/config_source.cc
@@ -13,11 +13,11 @@
 
 }  // namespace
 
-void ConfigSourcePolicy::SetCandidates(const std::vector<Candidate>& candidates) {
+void ConfigSourcePolicy::SetCandidates(const std::vector<Candidate>& candidates,
+                                       size_t fleet_size) {
   std::set<std::string> names;
   for (const Candidate& candidate : candidates) names.insert(candidate.data_centre);
-  size_t wanted =
-      (candidates.size() + m_options.nodes_per_watcher - 1) / m_options.nodes_per_watcher;
+  size_t wanted = (fleet_size + m_options.nodes_per_watcher - 1) / m_options.nodes_per_watcher;
   std::vector<std::string> watching =
       RendezvousTop("config", {names.begin(), names.end()}, std::max(kMinWatchers, wanted));
   // Nodes without a watcher in their data centre spread over all of them.
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -36,7 +36,7 @@
  public:
   struct Options {
     // A node watches for this many; at least two data centres have a watcher, and none has two.
-    size_t nodes_per_watcher = 32;
+    size_t nodes_per_watcher = 64;
     // Age of a confirmation by the platform over which a watcher is of no use. Together with the
     // time to ask elsewhere it must stay below the time in which a change must be in force.
     int64_t max_age_us = 1'000'000;
@@ -54,8 +54,8 @@
       : m_self(std::move(self)), m_options(options) {}
 
   // Commands.
-  // All nodes that may watch, this one perhaps among them.
-  void SetCandidates(const std::vector<Candidate>& candidates);
+  // All nodes that may watch, this one perhaps among them, and the number of all nodes.
+  void SetCandidates(const std::vector<Candidate>& candidates, size_t fleet_size);
   // A source answered with a confirmation of this age, in time or late; too old a one is a failure.
   // `unit` is uniform in [0, 1).
   void Answered(std::string_view node, int64_t age_us, int64_t now_us, double unit);
@@ -68,6 +68,8 @@
   // Whether `node` has failed of late, and is asked only for want of a better source.
   bool IsAvoided(std::string_view node, int64_t now_us) const;
   bool is_watcher() const { return m_is_watcher; }
+  // Whether this node knows whom to ask, or that it is to watch itself.
+  bool has_role() const { return m_is_watcher || !m_sources.empty(); }
 
  private:
   Candidate m_self;
--- a/test/correctness/config_source_falls_back_test.cc
+++ b/test/correctness/config_source_falls_back_test.cc
@@ -25,7 +25,7 @@
 
 ConfigSourcePolicy PolicyOf(const Candidate& self, const std::vector<Candidate>& fleet) {
   ConfigSourcePolicy policy(self, {});
-  policy.SetCandidates(fleet);
+  policy.SetCandidates(fleet, fleet.size());
   return policy;
 }
 
@@ -44,6 +44,19 @@
   EXPECT_EQ(WatchersOf(Fleet(200)).size(), 3U);
 }
 
+// Guards against two watchers for hundreds of nodes where few have links that are fast enough: both
+// are stale in the same moment, and all others turn to the platform.
+TEST(ConfigSourceFallsBack, TheNumberOfWatchersFollowsTheFleetAndNotTheCandidates) {
+  std::vector<Candidate> fast = Fleet(4);
+  size_t watchers = 0;
+  for (const Candidate& self : fast) {
+    ConfigSourcePolicy policy(self, {});
+    policy.SetCandidates(fast, 300);
+    if (policy.is_watcher()) ++watchers;
+  }
+  EXPECT_EQ(watchers, 3U);
+}
+
 TEST(ConfigSourceFallsBack, NodesFollowTheWatcherOfTheirDataCentreAndElseSpread) {
   std::vector<Candidate> fleet = Fleet(20);
   std::set<std::string> watchers = WatchersOf(fleet);
@@ -180,7 +193,7 @@
 TEST(ConfigSourceFallsBack, ANodeAloneWatches) {
   ConfigSourcePolicy policy = PolicyOf({"a", "braga"}, {});
   EXPECT_EQ(policy.SourceAt(0), ConfigSource(FromPlatform{}));
-  policy.SetCandidates({{"a", "braga"}});
+  policy.SetCandidates({{"a", "braga"}}, 1);
   EXPECT_TRUE(policy.is_watcher());
 }
 
--- a/test/support/fake_server.cc
+++ b/test/support/fake_server.cc
@@ -13,6 +13,7 @@
 #include <cerrno>
 #include <csignal>
 #include <optional>
+#include <stdexcept>
 
 namespace guavatrail {
 
@@ -220,6 +221,11 @@
   if (m_bev != nullptr) bufferevent_write(m_bev, bytes.data(), bytes.size());
 }
 
+void FakeClient::SendNow(std::string_view bytes) {
+  ssize_t sent = send(bufferevent_getfd(m_bev), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  if (sent != static_cast<ssize_t>(bytes.size())) throw std::runtime_error("not all was sent");
+}
+
 void FakeClient::PauseReading() { bufferevent_disable(m_bev, EV_READ); }
 void FakeClient::ResumeReading() { bufferevent_enable(m_bev, EV_READ); }
 
--- a/test/support/fake_server.h
+++ b/test/support/fake_server.h
@@ -90,6 +90,8 @@
   ~FakeClient();
 
   void Send(std::string_view bytes);
+  // Writes to the socket at once, not from the loop.
+  void SendNow(std::string_view bytes);
   void Close();
   void PauseReading();
   void ResumeReading();
