--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -35,9 +35,12 @@
 constexpr std::chrono::milliseconds kRoleCheck{1'000};
 // A follower that has turned to the platform gives it this time to answer.
 constexpr std::chrono::milliseconds kPlatformTrial{700};
-// Questions of a node that starts for its first table before it turns to the platform. Where all
-// nodes start at once, its source needs a moment itself.
-constexpr int kFirstQuestions = 5;
+// A node that starts asks other nodes for its first table for this time, and then the platform.
+// Where all nodes start at once their source needs a moment itself, and would need longer if all
+// read the platform beside it.
+constexpr std::chrono::milliseconds kFirstTableWait{2'000};
+// A source that has many whole tables to send is slow, and not lost.
+constexpr std::chrono::milliseconds kFirstTableMargin{1'200};
 // Between two questions.
 constexpr std::chrono::milliseconds kPause{5};
 // After a source that did not answer, or has no table yet.
@@ -70,14 +73,17 @@
 void ConfigRelay::Start() {
   if (m_is_running) return;
   m_is_running = true;
+  m_started_us = EventLoop::NowUs();
   m_source = SourceNow();
   m_hooks.watch_platform(std::holds_alternative<FromPlatform>(m_source));
   m_timer.Start(std::holds_alternative<FromPlatform>(m_source) ? kRoleCheck : kPause);
 }
 
 ConfigSource ConfigRelay::SourceNow() const {
-  if (version() == 0 && m_first_questions >= kFirstQuestions) return FromPlatform{};
-  return m_policy.SourceAt(EventLoop::NowUs());
+  int64_t now_us = EventLoop::NowUs();
+  bool is_late = now_us - m_started_us > kFirstTableWait.count() * kUsPerMs;
+  if (version() == 0 && is_late) return FromPlatform{};
+  return m_policy.SourceAt(now_us);
 }
 
 void ConfigRelay::Stop() {
@@ -161,7 +167,6 @@
   // A node that has lost its source wants to know at once whether it has missed a change.
   bool is_in_a_hurry = m_has_lost_source || version() == 0;
   std::chrono::milliseconds wait = is_in_a_hurry ? std::chrono::milliseconds(0) : kWait;
-  if (version() == 0) ++m_first_questions;
   request.headers = {{kVersionHeader, std::to_string(version())},
                      {kEndpointsHeader, std::to_string(m_hooks.expected_endpoint_revision())},
                      {kWaitHeader, std::to_string(wait.count())}};
@@ -169,7 +174,7 @@
   Question& question = m_open[number];
   question = {node, version(), nullptr};
   m_current = number;
-  m_overdue_timer.Start(wait + kMargin);
+  m_overdue_timer.Start(version() == 0 ? kFirstTableMargin : wait + kMargin);
   question.query = std::make_unique<HttpQuery>(
       m_loop, m_peers.PoolOf(*endpoint), std::move(request), wait + kMargin + kLateTime,
       [this, number](const std::optional<HttpReply>& reply) { OnReply(number, reply); },
@@ -223,13 +228,15 @@
     return false;
   }
   int64_t age_us = NumberIn(reply->headers, kAgeHeader) * kUsPerMs;
-  m_policy.Answered(node, age_us, now_us, m_random.Unit());
+  auto answer_version = static_cast<uint64_t>(NumberIn(reply->headers, kVersionHeader));
+  // A source that has just started, as this node has, is neither fresh nor stale.
+  bool is_starting = answer_version == 0 && version() == 0;
+  if (!is_starting) m_policy.Answered(node, age_us, now_us, m_random.Unit());
   if (const Endpoint* endpoint = m_endpoints->FindNode(node); endpoint != nullptr) {
     auto revision = static_cast<uint64_t>(NumberIn(reply->headers, kEndpointsHeader));
     m_hooks.source_has_endpoints(*endpoint, revision);
   }
   m_confirmed_us = std::max(m_confirmed_us, now_us - age_us);
-  auto answer_version = static_cast<uint64_t>(NumberIn(reply->headers, kVersionHeader));
   if (reply->status != kHttpOk || answer_version <= version()) return true;
   // Another answer was faster; the next question starts from its table.
   bool is_change = FindHeader(reply->headers, kChangeHeader) != nullptr;
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -114,7 +114,7 @@
   };
   std::map<uint64_t, Question> m_open;
   uint64_t m_next_question = 1;
-  int m_first_questions = 0;       // Before the first table came.
+  int64_t m_started_us = 0;
   bool m_has_lost_source = false;  // The last question had no answer in time, or a stale one.
   uint64_t m_current = 0;          // The question that is not overdue yet; 0: none.
   std::map<uint64_t, Waiting> m_waiting;
--- a/test/correctness/failing_servers_lose_their_share_test.cc
+++ b/test/correctness/failing_servers_lose_their_share_test.cc
@@ -30,6 +30,7 @@
   RandomSource random(seed);
   std::vector<Server> servers(kServers);
   std::vector<std::string> names;
+  names.reserve(kServers);
   for (int i = 0; i < kServers; ++i) names.push_back("server-" + std::to_string(i));
   std::vector<LoadTracker> trackers(4);
   std::vector<PlacementPolicy> policies(4, TwoChoices({.local_data_centre = "a"}));
--- a/test/error/silent_refusals_test.cc
+++ b/test/error/silent_refusals_test.cc
@@ -64,6 +64,7 @@
   Start();
   for (int round = 0; round < 4; ++round) {
     std::vector<std::unique_ptr<FakeClient>> clients;
+    clients.reserve(static_cast<size_t>(m_slots));
     for (int i = 0; i < m_slots; ++i) {
       clients.push_back(Send("GET", "/hang", Once(std::to_string(round * 10 + i), 100)));
     }
