--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -33,7 +33,7 @@
 constexpr std::chrono::milliseconds kLateTime{2'000};
 // How often a node that follows the platform looks whether it should.
 constexpr std::chrono::milliseconds kRoleCheck{1'000};
-// A follower that has turned to the platform gives it this time to answer.
+// How often a follower that has turned to the platform looks whether it answers.
 constexpr std::chrono::milliseconds kPlatformTrial{700};
 // A node that starts asks other nodes for its first table for this time, and then the platform.
 // Where all nodes start at once their source needs a moment itself, and would need longer if all
@@ -127,9 +127,10 @@
 
 void ConfigRelay::Confirm() { m_confirmed_us = EventLoop::NowUs(); }
 
-// Whether the platform has not confirmed anything within the time of a trial.
+// Whether the platform has confirmed nothing for longer than one that answers takes between two
+// confirmations: a watch ends within the age that a source may have.
 bool ConfigRelay::IsPlatformSilent() const {
-  return EventLoop::NowUs() - m_confirmed_us > kPlatformTrial.count() * kUsPerMs;
+  return EventLoop::NowUs() - m_confirmed_us > m_policy.max_age_us();
 }
 
 void ConfigRelay::Step() {
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -68,6 +68,7 @@
   // Whether `node` has failed of late, and is asked only for want of a better source.
   bool IsAvoided(std::string_view node, int64_t now_us) const;
   bool is_watcher() const { return m_is_watcher; }
+  int64_t max_age_us() const { return m_options.max_age_us; }
   // Whether this node knows whom to ask, or that it is to watch itself.
   bool has_role() const { return m_is_watcher || !m_sources.empty(); }
 
@@ -77,8 +78,8 @@
   bool m_is_watcher = false;
   std::vector<std::string> m_sources;  // In the order of preference.
   std::map<std::string, int64_t, std::less<>> m_avoided_until_us;
-  std::set<std::string, std::less<>>
-      m_stale;  // Sources that answer and were stale since one was fresh.
+  // Sources that have answered that they are stale, since one was fresh.
+  std::set<std::string, std::less<>> m_stale;
   int64_t m_platform_avoided_until_us = 0;
 };
 
--- /dev/null
+++ b/test/correctness/follower_stays_with_a_platform_that_answers_test.cc
@@ -0,0 +1,80 @@
+// Guards against a follower whose sources are stale and that leaves a platform which answers:
+// between two confirmations of a watch it took the platform for silent, and missed changes for
+// seconds.
+#include <gtest/gtest.h>
+
+#include "config_relay.h"
+#include "fake_server.h"
+#include "test_loop.h"
+
+namespace guavatrail {
+namespace {
+
+// As a watch that ends at 0.35 of the time in which a change must be in force, here 3 s.
+constexpr std::chrono::milliseconds kConfirmations{1'050};
+constexpr int64_t kMaxAgeUs = 1'500'000;
+
+class FollowerOfAStaleSource : public testing::Test {
+ protected:
+  FollowerOfAStaleSource()
+      : m_source(m_loop,
+                 [](FakeConnection& c, const std::string&) {
+                   c.Send(
+                       "HTTP/1.1 304 Not Modified\r\nX-Guavatrail-Config-Version: 1\r\n"
+                       "X-Guavatrail-Config-Age-Ms: 60000\r\n\r\n");
+                 }),
+        m_relay(m_loop, {"node-1", "braga"}, "", m_metrics, m_random,
+                {.adopt = [](auto) {},
+                 .watch_platform =
+                     [this](bool on) {
+                       m_watches = on;
+                       ++m_changes;
+                       if (on && m_platform_answers) m_relay.Confirm();
+                     }},
+                {.max_age_us = kMaxAgeUs}),
+        m_confirmations(m_loop, [this] {
+          if (m_watches && m_platform_answers) m_relay.Confirm();
+          m_confirmations.Start(kConfirmations);
+        }) {
+    m_relay.SetTable(std::make_shared<const ConfigTable>(
+        *ConfigTable::FromResources(1, {Service{.name = "catalogo"}})));
+    m_relay.Confirm();
+    m_confirmations.Start(kConfirmations);
+    std::vector<Endpoint> endpoints(2);
+    endpoints[0] = {.node = "node-1", .data_centre = "braga", .link_mbps = 7};
+    endpoints[1] = {.node = "node-2", .data_centre = "braga", .ip = "127.0.0.1"};
+    endpoints[1].link_mbps = 140;
+    endpoints[1].peer_port = m_source.port();
+    m_relay.SetEndpoints(std::make_shared<const EndpointList>(std::move(endpoints)));
+    m_relay.Start();
+  }
+
+  EventLoop m_loop;
+  Metrics m_metrics;
+  RandomSource m_random{7};
+  bool m_platform_answers = true;
+  bool m_watches = false;
+  int m_changes = 0;
+  FakeServer m_source;
+  ConfigRelay m_relay;
+  Timer m_confirmations;
+};
+
+TEST_F(FollowerOfAStaleSource, StaysWithAPlatformThatAnswers) {
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_watches; }));
+  int before = m_changes;
+  // Shorter than the time for which the stale source is left alone.
+  RunFor(m_loop, std::chrono::milliseconds(3'500));
+  EXPECT_TRUE(m_watches);
+  EXPECT_EQ(m_changes, before);
+}
+
+TEST_F(FollowerOfAStaleSource, LeavesAPlatformThatDoesNot) {
+  m_platform_answers = false;
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_watches; }));
+  EXPECT_TRUE(RunUntil(
+      m_loop, [&] { return !m_watches; }, std::chrono::milliseconds(3'000)));
+}
+
+}  // namespace
+}  // namespace guavatrail
