--- a/test/platform/mesh_node_test.cc
+++ b/test/platform/mesh_node_test.cc
@@ -218,6 +218,21 @@
   EXPECT_TRUE(CallUntil(*m_entry, "/parts/1", 200));
 }
 
+// The same where the record could be read only after reports had begun to be believed.
+TEST_F(MeshNodeTest, ARestoredServerThatStaysSilentIsTakenOutOfUseAlsoWhenItsRecordIsReadLate) {
+  StartPair();
+  m_store.SetMode(FakeStore::Mode::kSilent);
+  EXPECT_EQ(Leave(*m_serving, "i-1"), 200);
+  m_serving->node.reset();
+  StartNode(*m_serving);
+  RunFor(m_loop, std::chrono::milliseconds(1'500));
+  m_store.SetMode(FakeStore::Mode::kWell);
+  RunFor(m_loop, std::chrono::milliseconds(3'500));
+  m_serving->requests.clear();
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+}
+
 // Guards against a drain by an operator that ends with the node's process.
 TEST_F(MeshNodeTest, AnOperatorsDrainHoldsOverARestartOfTheNode) {
   StartPair();
