Refuse callers before a stopping node ends, and stay with a slow platform where no outage is shown

Callers are refused first now, and the node is idle when they have been for one look (AStoppingNodeRefusesCallersBeforeItEnds).

The pause after a failed trial holds only where three sources or more can show an outage.

--- a/src/config_source.cc
+++ b/src/config_source.cc
@@ -58,6 +58,7 @@
 }
 
 void ConfigSourcePolicy::PlatformFailed(int64_t now_us, double unit) {
+  if (m_sources.size() < m_options.outage_witnesses) return;
   auto pause_us =
       static_cast<int64_t>((1 + unit) / 2 * static_cast<double>(m_options.platform_pause_us));
   m_platform_avoided_until_us = now_us + pause_us;
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -44,8 +44,9 @@
     int64_t avoid_us = 4'000'000;
     // Watchers that are tried before the platform.
     size_t sources = 4;
-    // The platform is left alone for half of this time up to all of it after a trial that failed,
-    // and for up to this time once so many living sources are stale.
+    // With as many sources as witnesses or more, the platform is left alone for half of this time
+    // up to all of it after a trial that failed, and for up to this time once so many living
+    // sources are stale. Fewer sources may all be cut off from a platform that is well.
     int64_t platform_pause_us = 4'000'000;
     size_t outage_witnesses = 3;
   };
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -62,6 +62,8 @@
 
   uint16_t port() const { return m_listener.port(); }
   size_t calls() const { return m_calls.size(); }
+  // Whether every request that was read has been answered.
+  bool is_idle() const { return m_calls.empty() && m_replies.empty(); }
 
  private:
   // From the caller.
--- a/test/correctness/config_source_falls_back_test.cc
+++ b/test/correctness/config_source_falls_back_test.cc
@@ -187,6 +187,9 @@
     if (policy.is_watcher()) continue;
     ASSERT_EQ(MakeAllStale(policy, 0, 0.9), 2);
     EXPECT_EQ(policy.SourceAt(0), ConfigSource(FromPlatform{}));
+    // Nor does a platform that is slow for a moment send the node back to them.
+    policy.PlatformFailed(kSecondUs, 0.9);
+    EXPECT_EQ(policy.SourceAt(kSecondUs), ConfigSource(FromPlatform{}));
   }
 }
 
--- a/test/platform/mesh_node_test.cc
+++ b/test/platform/mesh_node_test.cc
@@ -386,6 +386,17 @@
   EXPECT_EQ(client->status(), 200);
 }
 
+// Guards against a request that is accepted after the node was found idle, and cut off when the
+// process ends a moment later.
+TEST_F(MeshNodeTest, AStoppingNodeRefusesCallersBeforeItEnds) {
+  StartPair();
+  m_entry->node->Stop();
+  // The time in which callers still come, and one look whether the node is idle.
+  RunFor(m_loop, std::chrono::milliseconds(2'720));
+  EXPECT_EQ(Call(*m_entry, "/parts/1", "late")->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+}
+
 // Guards against a planned stop that takes a living server out of use from its first moment, and
 // against work that is taken too late to finish before the process ends.
 TEST_F(MeshNodeTest, AStoppingNodeHasWorkDoneForOthersAtFirst) {
