Tell a server that is overdue from a caller that left by the cause, not by the clock

Its line says left_ms=0: the timer had fired some microseconds before the deadline, and GiveUp compared the times. The callers of GiveUp say the cause now. Ruled out: a lost answer of the test's server (20 answers before it came).

--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -398,7 +398,7 @@
   }
   bool runs_on = call.is_keyed() && call.exchange->may_have_left();
   if (is_streaming || call.is_given_up || !runs_on) {
-    GiveUp(call);
+    GiveUp(call, GiveUpCause::kServerOverdue);
     return;
   }
   call.timer.Start(kOrderOvertime);
@@ -407,13 +407,12 @@
 }
 
 // Stops a running call at once; closing its connection cancels it at the server.
-void ServingProxy::GiveUp(Call& call) {
+void ServingProxy::GiveUp(Call& call, GiveUpCause cause) {
   if (call.phase != Call::Phase::kRunning) return;
   call.phase = Call::Phase::kEnded;
   call.timer.Cancel();
   bool not_run = !call.may_have_left && !call.exchange->may_have_left();
-  // A server that is silent until the deadline has failed; one whose caller has left has not.
-  bool is_overdue = EventLoop::NowUs() >= call.deadline_us;
+  bool is_overdue = cause == GiveUpCause::kServerOverdue;
   if (is_overdue && !not_run && call.server_id == m_gate.server_id) m_failures.Failed();
   call.exchange.reset();
   if (call.is_keyed()) FinishOrder(call, not_run ? ExchangeEnd::kNotSent : ExchangeEnd::kBroken);
@@ -442,7 +441,7 @@
       if (!call.is_given_up) call.timer.Start(kOrderOvertime);
       call.is_given_up = true;
     } else {
-      GiveUp(call);
+      GiveUp(call, GiveUpCause::kSenderLeft);
     }
   }
   RemoveIfEnded(call);
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -104,7 +104,9 @@
   void AnswerNotRun(Call& call, std::string_view reason, int64_t retry_after_ms);
   void AnswerUnknown(Call& call, int status);
   void JudgeServer(const Call& call, ExchangeEnd end);
-  void GiveUp(Call& call);
+  // A server that is silent until the deadline has failed; one whose caller has left has not.
+  enum class GiveUpCause { kServerOverdue, kSenderLeft };
+  void GiveUp(Call& call, GiveUpCause cause);
   void RemoveIfEnded(Call& call);
   void LogEnd(const Call& call, std::string_view outcome, std::string_view reason) const;
   void WatchQueue();
