--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -19,7 +19,6 @@
 constexpr char kEndpointsHeader[] = "X-Guavatrail-Endpoints-Revision";
 // The body is a change from the asker's version, and this is the digest of its result.
 constexpr char kChangeHeader[] = "X-Guavatrail-Config-Digest";
-constexpr int kHttpNotModified = 304;
 // Versions that a follower may be behind and still get a change in place of the table.
 constexpr size_t kFormerTables = 8;
 // Nodes with at least this share of the fastest link of their data centre may watch: the store
@@ -55,13 +54,13 @@
 
 }  // namespace
 
-ConfigRelay::ConfigRelay(EventLoop& loop, Candidate self, std::string local_ip, Metrics& metrics,
+ConfigRelay::ConfigRelay(EventLoop& loop, Candidate self, PeerClient& peers, Metrics& metrics,
                          RandomSource& random, Hooks hooks, ConfigSourcePolicy::Options options)
     : m_loop(loop),
       m_random(random),
       m_hooks(std::move(hooks)),
       m_policy(std::move(self), options),
-      m_peers(loop, std::move(local_ip)),
+      m_peers(peers),
       m_endpoints(std::make_shared<const EndpointList>()),
       m_replies(loop),
       m_questions(metrics.GetCounter("config_questions_total")),
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -40,7 +40,8 @@
         [](const Endpoint&, uint64_t) {};
   };
 
-  ConfigRelay(EventLoop& loop, Candidate self, std::string local_ip, Metrics& metrics,
+  // `peers` must outlive the relay.
+  ConfigRelay(EventLoop& loop, Candidate self, PeerClient& peers, Metrics& metrics,
               RandomSource& random, Hooks hooks, ConfigSourcePolicy::Options options = {});
 
   // Commands.
@@ -92,7 +93,7 @@
   RandomSource& m_random;
   Hooks m_hooks;
   ConfigSourcePolicy m_policy;
-  PeerClient m_peers;
+  PeerClient& m_peers;
   std::shared_ptr<const EndpointList> m_endpoints;
   std::shared_ptr<const ConfigTable> m_table;
   std::string m_encoded;  // Of m_table; empty until somebody asks.
--- a/src/endpoint_relay.cc
+++ b/src/endpoint_relay.cc
@@ -12,7 +12,6 @@
 
 // Revision of the platform's store up to which the asker knows the endpoints.
 constexpr char kKnownHeader[] = "X-Guavatrail-Endpoints-Known";
-constexpr int kHttpNotModified = 304;
 constexpr std::chrono::milliseconds kTimeout{1'000};
 // A source that could not answer is asked again after this time.
 constexpr std::chrono::milliseconds kRetryPause{500};
@@ -20,12 +19,12 @@
 
 }  // namespace
 
-EndpointRelay::EndpointRelay(EventLoop& loop, std::string local_ip,
-                             const EndpointDirectory& directory, Metrics& metrics, Handler handler)
+EndpointRelay::EndpointRelay(EventLoop& loop, PeerClient& peers, const EndpointDirectory& directory,
+                             Metrics& metrics, Handler handler)
     : m_loop(loop),
       m_directory(directory),
       m_handler(std::move(handler)),
-      m_peers(loop, std::move(local_ip)),
+      m_peers(peers),
       m_replies(loop),
       m_questions(metrics.GetCounter("endpoint_questions_total")),
       m_failures(metrics.GetCounter("endpoint_question_failures_total")),
@@ -70,7 +69,7 @@
   LOG(INFO) << "event=endpoint_update source=" << node << " before=" << m_directory.revision()
             << " revision=" << update->revision << " entries=" << update->entries.size()
             << " whole=" << update->is_whole;
-  m_handler(*update);
+  m_handler(node, *update);
 }
 
 void EndpointRelay::Answer(std::unique_ptr<DownstreamRequest> request) {
--- a/src/endpoint_relay.h
+++ b/src/endpoint_relay.h
@@ -21,10 +21,11 @@
 // the source names its state again.
 class EndpointRelay {
  public:
-  // Receives what another node knows.
-  using Handler = std::function<void(const EndpointUpdate&)>;
+  // Receives what the node `source` knows.
+  using Handler = std::function<void(const std::string& source, const EndpointUpdate&)>;
 
-  EndpointRelay(EventLoop& loop, std::string local_ip, const EndpointDirectory& directory,
+  // `peers` must outlive the relay.
+  EndpointRelay(EventLoop& loop, PeerClient& peers, const EndpointDirectory& directory,
                 Metrics& metrics, Handler handler);
 
   // Commands.
@@ -43,7 +44,7 @@
   EventLoop& m_loop;
   const EndpointDirectory& m_directory;
   Handler m_handler;
-  PeerClient m_peers;
+  PeerClient& m_peers;
   std::unique_ptr<HttpQuery> m_query;
   uint64_t m_asked_revision = 0;  // That the answer will have; 0: no question is open.
   PendingReplies m_replies;
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -75,6 +75,7 @@
 
 enum HttpStatus {
   kHttpOk = 200,
+  kHttpNotModified = 304,
   kHttpBadRequest = 400,
   kHttpNotFound = 404,
   kHttpRequestTimeout = 408,
--- a/test/correctness/config_changes_travel_as_notes_test.cc
+++ b/test/correctness/config_changes_travel_as_notes_test.cc
@@ -43,9 +43,10 @@
 class ConfigRelayPair : public testing::Test {
  protected:
   ConfigRelayPair()
-      : m_source(m_loop, {"node-1", "braga"}, "", m_metrics, m_random,
+      : m_peers(m_loop, ""),
+        m_source(m_loop, {"node-1", "braga"}, m_peers, m_metrics, m_random,
                  {.adopt = [](auto) {}, .watch_platform = [](bool) {}}),
-        m_follower(m_loop, {"node-2", "braga"}, "", m_metrics, m_random,
+        m_follower(m_loop, {"node-2", "braga"}, m_peers, m_metrics, m_random,
                    {.adopt =
                         [this](auto table) {
                           m_adopted = table;
@@ -78,6 +79,7 @@
   bool m_watches = false;
   int m_questions = 0;
   std::shared_ptr<const ConfigTable> m_adopted;
+  PeerClient m_peers;
   ConfigRelay m_source;
   ConfigRelay m_follower;
   HttpListener m_listener;
--- a/test/correctness/config_relay_survives_leaving_followers_test.cc
+++ b/test/correctness/config_relay_survives_leaving_followers_test.cc
@@ -17,7 +17,8 @@
 class ConfigRelaySurvivesLeavingFollowers : public testing::Test {
  protected:
   ConfigRelaySurvivesLeavingFollowers()
-      : m_relay(m_loop, {"node-1", "braga"}, "", m_metrics, m_random,
+      : m_peers(m_loop, ""),
+        m_relay(m_loop, {"node-1", "braga"}, m_peers, m_metrics, m_random,
                 {.adopt = [](auto) {}, .watch_platform = [](bool) {}}),
         m_listener(m_loop, [this](auto request) { m_relay.Answer(std::move(request)); }) {
     EXPECT_TRUE(m_listener.Listen("127.0.0.1", 0));
@@ -34,6 +35,7 @@
   EventLoop m_loop;
   Metrics m_metrics;
   RandomSource m_random{7};
+  PeerClient m_peers;
   ConfigRelay m_relay;
   HttpListener m_listener;
 };
--- a/test/correctness/follower_stays_with_a_platform_that_answers_test.cc
+++ b/test/correctness/follower_stays_with_a_platform_that_answers_test.cc
@@ -23,7 +23,8 @@
                        "HTTP/1.1 304 Not Modified\r\nX-Guavatrail-Config-Version: 1\r\n"
                        "X-Guavatrail-Config-Age-Ms: 60000\r\n\r\n");
                  }),
-        m_relay(m_loop, {"node-1", "braga"}, "", m_metrics, m_random,
+        m_peers(m_loop, ""),
+        m_relay(m_loop, {"node-1", "braga"}, m_peers, m_metrics, m_random,
                 {.adopt = [](auto) {},
                  .watch_platform =
                      [this](bool on) {
@@ -56,6 +57,7 @@
   bool m_watches = false;
   int m_changes = 0;
   FakeServer m_source;
+  PeerClient m_peers;
   ConfigRelay m_relay;
   Timer m_confirmations;
 };
--- a/test/correctness/late_config_answers_count_test.cc
+++ b/test/correctness/late_config_answers_count_test.cc
@@ -29,7 +29,8 @@
                     m_last_question = question;
                     AnswerLater(c.number());
                   }),
-        m_relay(m_loop, {"node-1", "braga"}, "", m_metrics, m_random,
+        m_peers(m_loop, ""),
+        m_relay(m_loop, {"node-1", "braga"}, m_peers, m_metrics, m_random,
                 {.adopt =
                      [this](auto table) {
                        m_adopted = table->version();
@@ -71,6 +72,7 @@
   std::string m_last_question;
   std::list<std::unique_ptr<Timer>> m_timers;
   FakeServer m_watcher;
+  PeerClient m_peers;
   ConfigRelay m_relay;
 };
 
--- a/test/platform/store_followers_test.cc
+++ b/test/platform/store_followers_test.cc
@@ -73,6 +73,22 @@
   EXPECT_TRUE(RunUntil(m_loop, [&] { return m_seen["a"] == 1; }));
 }
 
+// A list of several pages is read at several revisions.
+TEST_F(StoreFollowers, TheWatcherMissesNoChangeBetweenTwoPages) {
+  for (const char* name : {"a", "b", "c"}) m_store.Put("things", name, 1);
+  bool is_changed = false;
+  m_store.SetPages(2, [&] {
+    if (std::exchange(is_changed, true)) return;
+    m_store.Put("things", "a", 2);
+    m_store.Remove("things", "b");
+    m_store.Put("things", "0", 3);
+  });
+  m_watcher.Start();
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_seen["c"] == 1; }));
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return m_seen["a"] == 2 && m_seen["0"] == 3; }));
+  EXPECT_FALSE(m_seen.contains("b"));
+}
+
 TEST_F(StoreFollowers, TheWatcherGoesOnAfterEachKindOfOutage) {
   m_watcher.Start();
   int value = 0;
--- a/test/soak/explain_failures_test.py
+++ b/test/soak/explain_failures_test.py
@@ -11,14 +11,17 @@
 import re
 import sys
 import tempfile
+import time
 import unittest
 import urllib.request
 
+from backend import DRAIN_S
 from callers import Caller
 from mesh import ADMIN, ROOT, Mesh
 
 BUILD = ROOT / "build"
 NET = 58  # A loopback network that no other test uses.
+LOG_WAIT_S = 2.0
 
 
 def fields_of(line):
@@ -78,20 +81,34 @@
         """A call whose result is known; its lines are in the logs when it returns."""
         self.caller.count += 1
         await self.caller.call("POST", f"/orders/{self.caller.count}", b"an order")
+        call = list(self.calls.values())[-1]
+        await self.until(lambda: self.logs.lines(self.caller.node.name, id=call.id), LOG_WAIT_S)
+        # The serving node writes its line when its own part has ended, which may be a moment later.
         await asyncio.sleep(0.3)
-        return list(self.calls.values())[-1]
+        return call
+
+    def known_to_leave(self):
+        """The nodes whose servers the caller's node has logged as leaving."""
+        return {line["node"] for line in self.logs.lines(
+            self.caller.node.name, event="endpoint_seen", service="encomendas", draining="1")}
+
+    async def until(self, holds, limit_s):
+        end = time.monotonic() + limit_s
+        while not holds():
+            self.assertLess(time.monotonic(), end, f"not within {limit_s} s")
+            await asyncio.sleep(0.02)
 
     async def test_refused_because_all_servers_leave(self):
         leaving = [asyncio.create_task(n.backend.leave(True)) for n in self.orders]
-        await asyncio.sleep(0.3)
+        # Changes of the store are gathered for a moment, so the second leave may come later.
+        await self.until(lambda: self.known_to_leave() == {n.name for n in self.orders}, DRAIN_S)
         call = await self.order()
         self.assertEqual(call.status, 503)
         entry = self.logs.entry_line(call)
         self.assertEqual((entry["outcome"], entry["reason"]), ("refused", "no_server"))
         self.assertEqual((entry["may_have_run"], entry["tries"]), ("0", "0"))
         # What the entry node knew of the servers of the service, and why.
-        leaving_nodes = {line["node"] for line in self.logs.lines(
-            self.caller.node.name, event="endpoint_seen", service=entry["service"], draining="1")}
+        leaving_nodes = self.known_to_leave()
         self.assertEqual(leaving_nodes, {n.name for n in self.orders})
         for node in leaving_nodes:
             closed = self.logs.lines(node, event="gate_closed", reason="draining")
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -97,9 +97,10 @@
             await self.add_event(kind, stored, True)
 
     async def add_event(self, kind, stored, removed):
+        # Before the first await: a watch that sees the new revision must see its event too.
+        self.history.append((self.revision, kind, {"object": stored, "removed": removed}))
+        del self.history[:-HISTORY]
         async with self.changed:
-            self.history.append((self.revision, kind, {"object": stored, "removed": removed}))
-            del self.history[:-HISTORY]
             self.changed.notify_all()
 
     def forget(self):
--- a/test/support/fake_store.cc
+++ b/test/support/fake_store.cc
@@ -136,10 +136,18 @@
 }
 
 void FakeStore::OnList(std::unique_ptr<DownstreamRequest> request, const std::string& kind) {
+  const auto& objects = m_kinds[kind];
+  std::string after = QueryValue(request->target(), "after");
   json items = json::array();
-  for (const auto& [name, object] : m_kinds[kind]) items.push_back(object.value);
+  auto it = after.empty() ? objects.begin() : objects.upper_bound(after);
+  for (; it != objects.end(); ++it) {
+    if (m_page_objects > 0 && items.size() == m_page_objects) break;
+    items.push_back(it->second.value);
+  }
+  bool has_more = it != objects.end();
   Reply(std::move(request), 200,
-        {{"items", items}, {"has-more", false}, {"current-rev", m_revision}});
+        {{"items", items}, {"has-more", has_more}, {"current-rev", m_revision}});
+  if (has_more && m_on_page_sent) m_on_page_sent();
 }
 
 json FakeStore::EventsSince(const std::string& kind, uint64_t revision) const {
--- a/test/support/fake_store.h
+++ b/test/support/fake_store.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -29,6 +30,11 @@
 
   uint16_t port() const { return m_listener.port(); }
   void SetMode(Mode mode) { m_mode = mode; }
+  // Lists at most `objects` at a time, and calls `sent` after each page that more follow.
+  void SetPages(size_t objects, std::function<void()> sent) {
+    m_page_objects = objects;
+    m_on_page_sent = std::move(sent);
+  }
   // Writes as the operator or another node would.
   void Put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
   // Takes an object away without a word from its owner, as a lapse does.
@@ -102,6 +108,8 @@
   uint64_t m_revision = 7;
   uint64_t m_oldest = 0;  // History up to here is gone.
   int m_calls = 0;
+  size_t m_page_objects = 0;  // 0: all at once.
+  std::function<void()> m_on_page_sent;
   std::map<std::string, int> m_readings;
   std::map<std::string, std::map<std::string, Object>> m_kinds;
   std::vector<Change> m_history;
