Pass whole tables on between nodes that start

Nodes with thin links are not named. Small tables are sent as before.

Ruled out: the store (it answered within 30 ms), the endpoints (known at once).

--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "config_codec.h"
 
@@ -19,6 +20,13 @@
 constexpr char kEndpointsHeader[] = "X-Guavatrail-Endpoints-Revision";
 // The body is a change from the asker's version, and this is the digest of its result.
 constexpr char kChangeHeader[] = "X-Guavatrail-Config-Digest";
+// The node that asks.
+constexpr char kAskerHeader[] = "X-Guavatrail-Config-Asker";
+// On a refusal of a source that is sending other whole tables: a node that holds the table, or
+// nothing when none is known.
+constexpr char kHolderHeader[] = "X-Guavatrail-Config-Holder";
+// Nodes named in turn before the source is asked again.
+constexpr int kMaxReferrals = 8;
 // Versions that a follower may be behind and still get a change in place of the table.
 constexpr size_t kFormerTables = 8;
 // Nodes with at least this share of the fastest link of their data centre may watch: the store
@@ -38,12 +46,14 @@
 // Where all nodes start at once their source needs a moment itself, and would need longer if all
 // read the platform beside it.
 constexpr std::chrono::milliseconds kFirstTableWait{2'000};
-// A source that has many whole tables to send is slow, and not lost.
-constexpr std::chrono::milliseconds kFirstTableMargin{1'200};
+// A whole table takes longer than a change, and its source sends others beside it.
+constexpr std::chrono::milliseconds kFirstTableMargin{600};
 // Between two questions.
 constexpr std::chrono::milliseconds kPause{5};
 // After a source that did not answer, or has no table yet.
 constexpr std::chrono::milliseconds kNoAnswerPause{100};
+// After a source that is sending other whole tables and knows no holder.
+constexpr std::chrono::milliseconds kBusyPause{50};
 constexpr size_t kMaxTableBytes = 8'388'608;
 constexpr int64_t kUsPerMs = 1'000;
 
@@ -59,6 +69,7 @@
     : m_loop(loop),
       m_random(random),
       m_hooks(std::move(hooks)),
+      m_name(self.node),
       m_policy(std::move(self), options),
       m_peers(peers),
       m_endpoints(std::make_shared<const EndpointList>()),
@@ -104,10 +115,12 @@
     link = std::max(link, endpoint.link_mbps);
   }
   std::vector<Candidate> candidates;
+  m_candidates.clear();
   for (const Endpoint& endpoint : m_endpoints->all()) {
     if (endpoint.draining) continue;
     if (endpoint.link_mbps < kWatcherLinkShare * fastest[endpoint.data_centre]) continue;
     candidates.push_back({endpoint.node, endpoint.data_centre});
+    m_candidates.insert(endpoint.node);
   }
   m_policy.SetCandidates(candidates, m_endpoints->all().size());
   AnswerWaiting();
@@ -120,6 +133,7 @@
     for (Former& former : m_former) former.change.clear();
   }
   m_table = std::move(table);
+  m_referrals.TableChanged();
   m_encoded.clear();
   AnswerWaiting();
 }
@@ -149,17 +163,20 @@
     m_hooks.watch_platform(std::holds_alternative<FromPlatform>(source));
   }
   if (const auto* node = std::get_if<FromNode>(&m_source)) {
-    Ask(node->node);
+    std::string holder = std::exchange(m_holder, "");
+    if (holder.empty()) m_referrals_followed = 0;
+    Ask(holder.empty() ? node->node : holder, !holder.empty());
   } else {
+    m_holder.clear();
     m_timer.Start(m_policy.is_watcher() ? kRoleCheck : kPlatformTrial);
   }
 }
 
-void ConfigRelay::Ask(const std::string& node) {
+void ConfigRelay::Ask(const std::string& node, bool is_referred) {
   const Endpoint* endpoint = m_endpoints->FindNode(node);
   if (endpoint == nullptr) {
-    m_policy.Failed(node, EventLoop::NowUs());
-    m_timer.Start(kPause);
+    if (!is_referred) m_policy.Failed(node, EventLoop::NowUs());
+    m_timer.Start(is_referred ? kBusyPause : kPause);
     return;
   }
   m_questions.Add();
@@ -169,10 +186,11 @@
   std::chrono::milliseconds wait = is_in_a_hurry ? std::chrono::milliseconds(0) : kWait;
   request.headers = {{kVersionHeader, std::to_string(version())},
                      {kEndpointsHeader, std::to_string(m_hooks.expected_endpoint_revision())},
+                     {kAskerHeader, m_name},
                      {kWaitHeader, std::to_string(wait.count())}};
   uint64_t number = m_next_question++;
   Question& question = m_open[number];
-  question = {node, version(), nullptr};
+  question = {node, version(), is_referred, nullptr};
   m_current = number;
   m_overdue_timer.Start(version() == 0 ? kFirstTableMargin : wait + kMargin);
   question.query = std::make_unique<HttpQuery>(
@@ -183,10 +201,10 @@
 
 // The next source is asked; the question stays open.
 void ConfigRelay::OnOverdue() {
-  const std::string& node = m_open.at(m_current).node;
-  m_failures.Add();
-  LOG(WARNING) << "event=config_source_overdue source=" << node << " version=" << version();
-  m_policy.Failed(node, EventLoop::NowUs());
+  const Question& question = m_open.at(m_current);
+  LOG(WARNING) << "event=config_source_overdue source=" << question.node
+               << " referred=" << question.is_referred << " version=" << version();
+  SourceFailed(question);
   m_has_lost_source = true;
   m_current = 0;
   m_timer.Start(kPause);
@@ -199,7 +217,11 @@
   bool is_late = number != m_current;
   // The source has been given up for this question already.
   if (is_late && !reply) return;
-  bool is_answer = TakeReply(question.node, question.known, reply);
+  if (reply && FindHeader(reply->headers, kHolderHeader) != nullptr) {
+    if (!is_late) AskAgain(question, *reply);
+    return;
+  }
+  bool is_answer = TakeReply(question, reply);
   if (is_late) {
     LOG(INFO) << "event=config_answer_late source=" << question.node << " usable=" << is_answer;
     return;
@@ -214,25 +236,44 @@
   m_timer.Start(has_nothing ? kNoAnswerPause : is_last_resort ? kWait : kPause);
 }
 
+// The source is sending other tables; another node, or the source again after a pause, has it.
+void ConfigRelay::AskAgain(const Question& question, const HttpReply& reply) {
+  m_current = 0;
+  m_overdue_timer.Cancel();
+  m_holder = TextIn(reply.headers, kHolderHeader);
+  if (m_holder == m_name || ++m_referrals_followed > kMaxReferrals) m_holder.clear();
+  LOG(INFO) << "event=config_referred source=" << question.node << " holder=" << m_holder
+            << " version=" << version();
+  m_timer.Start(m_holder.empty() ? kBusyPause : kPause);
+}
+
+// A node that was only named by a source is not to blame for the source.
+void ConfigRelay::SourceFailed(const Question& question) {
+  m_failures.Add();
+  if (!question.is_referred) m_policy.Failed(question.node, EventLoop::NowUs());
+}
+
 // Whether it was an answer; a table that it holds is put in force.
-bool ConfigRelay::TakeReply(const std::string& node, uint64_t known,
-                            const std::optional<HttpReply>& reply) {
+bool ConfigRelay::TakeReply(const Question& question, const std::optional<HttpReply>& reply) {
   int64_t now_us = EventLoop::NowUs();
   bool is_answer = reply && (reply->status == kHttpOk || reply->status == kHttpNotModified) &&
                    FindHeader(reply->headers, kAgeHeader) != nullptr;
   if (!is_answer) {
-    m_failures.Add();
-    LOG(WARNING) << "event=config_source_failed source=" << node
+    LOG(WARNING) << "event=config_source_failed source=" << question.node
+                 << " referred=" << question.is_referred
                  << " status=" << (reply ? reply->status : 0);
-    m_policy.Failed(node, now_us);
+    SourceFailed(question);
     return false;
   }
   int64_t age_us = NumberIn(reply->headers, kAgeHeader) * kUsPerMs;
   auto answer_version = static_cast<uint64_t>(NumberIn(reply->headers, kVersionHeader));
   // A source that has just started, as this node has, is neither fresh nor stale.
   bool is_starting = answer_version == 0 && version() == 0;
-  if (!is_starting) m_policy.Answered(node, age_us, now_us, m_random.Unit());
-  if (const Endpoint* endpoint = m_endpoints->FindNode(node); endpoint != nullptr) {
+  if (!is_starting && !question.is_referred) {
+    m_policy.Answered(question.node, age_us, now_us, m_random.Unit());
+  }
+  const Endpoint* endpoint = m_endpoints->FindNode(question.node);
+  if (endpoint != nullptr) {
     auto revision = static_cast<uint64_t>(NumberIn(reply->headers, kEndpointsHeader));
     m_hooks.source_has_endpoints(*endpoint, revision);
   }
@@ -240,11 +281,10 @@
   if (reply->status != kHttpOk || answer_version <= version()) return true;
   // Another answer was faster; the next question starts from its table.
   bool is_change = FindHeader(reply->headers, kChangeHeader) != nullptr;
-  if (is_change && known != version()) return true;
+  if (is_change && question.known != version()) return true;
   std::shared_ptr<const ConfigTable> table = TableIn(*reply);
   if (table == nullptr) {
-    m_failures.Add();
-    m_policy.Failed(node, now_us);
+    SourceFailed(question);
     return false;
   }
   if (table->version() > version()) m_hooks.adopt(std::move(table));
@@ -279,9 +319,16 @@
   return version() > known.version || m_hooks.endpoint_revision() > known.endpoint_revision;
 }
 
+// Others are not sent to a node with a thin link, nor to one that is leaving.
+void ConfigRelay::NoteHolder(std::string_view node) {
+  if (m_candidates.contains(node)) m_referrals.Holds(node);
+}
+
 void ConfigRelay::Answer(std::unique_ptr<DownstreamRequest> request) {
   Known known = {static_cast<uint64_t>(NumberIn(request->headers(), kVersionHeader)),
                  static_cast<uint64_t>(NumberIn(request->headers(), kEndpointsHeader))};
+  std::string_view asker = TextIn(request->headers(), kAskerHeader);
+  if (m_table != nullptr && known.version == version()) NoteHolder(asker);
   if (HasNewsFor(known)) {
     AnswerNow(std::move(request), known);
     return;
@@ -326,13 +373,35 @@
     return;
   }
   EncodeOnce();
+  const std::string* change = ChangeFrom(known.version);
+  if (change == nullptr) {
+    AnswerTable(std::move(request), std::move(headers));
+    return;
+  }
+  headers.emplace_back(kChangeHeader, m_digest);
   request->Expedite();
-  if (const std::string* change = ChangeFrom(known.version); change != nullptr) {
-    headers.emplace_back(kChangeHeader, m_digest);
-    m_replies.Reply(std::move(request), kHttpOk, headers, *change);
-  } else {
-    m_replies.Reply(std::move(request), kHttpOk, headers, m_encoded);
+  m_replies.Reply(std::move(request), kHttpOk, headers, *change);
+}
+
+// Sends the whole table, or refers the asker to another node when others are under way.
+void ConfigRelay::AnswerTable(std::unique_ptr<DownstreamRequest> request, HeaderList headers) {
+  std::string_view asker = TextIn(request->headers(), kAskerHeader);
+  size_t bytes = m_encoded.size();
+  TableReferrals::Answer answer = m_referrals.AnswerFor(asker, bytes);
+  if (std::holds_alternative<TableReferrals::SendTable>(answer)) {
+    m_referrals.Started(bytes);
+    request->Expedite();
+    m_replies.Reply(std::move(request), kHttpOk, headers, m_encoded,
+                    [this, bytes, node = std::string(asker), sent = version()](bool written) {
+                      m_referrals.Ended(bytes);
+                      if (written && sent == version()) NoteHolder(node);
+                    });
+    return;
   }
+  const auto* other = std::get_if<TableReferrals::AskNode>(&answer);
+  if (other != nullptr) m_referrals.Referred(other->node);
+  headers.emplace_back(kHolderHeader, other == nullptr ? "" : other->node);
+  m_replies.Reply(std::move(request), kHttpServiceUnavailable, headers);
 }
 
 void ConfigRelay::EncodeOnce() {
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "config_source.h"
@@ -18,12 +19,15 @@
 #include "metrics.h"
 #include "peer_client.h"
 #include "random_source.h"
+#include "table_referrals.h"
 
 namespace guavatrail {
 
 // A follower asks its source for anything newer than what it has; the source answers when it has
 // it, or after a short wait, and says how long ago the platform confirmed what it has. Question and
 // answer also name the revision of the endpoints that each side knows; see endpoint_relay.h.
+// A source that has several whole tables to send names another node that holds the table, and the
+// follower asks that one; see table_referrals.h.
 class ConfigRelay {
  public:
   struct Hooks {
@@ -67,6 +71,13 @@
     uint64_t version = 0;
     uint64_t endpoint_revision = 0;
   };
+  // One to another node that may still be answered.
+  struct Question {
+    std::string node;
+    uint64_t known = 0;        // The version that the answer's change starts from.
+    bool is_referred = false;  // The node was named by the source.
+    std::unique_ptr<HttpQuery> query;
+  };
   struct Waiting {
     std::unique_ptr<DownstreamRequest> request;
     Known known;
@@ -77,11 +88,15 @@
   ConfigSource SourceNow() const;
   bool IsPlatformSilent() const;
   bool HasNewsFor(const Known& known) const;
-  void Ask(const std::string& node);
+  void Ask(const std::string& node, bool is_referred);
+  void AskAgain(const Question& question, const HttpReply& reply);
   void OnOverdue();
   void OnReply(uint64_t number, const std::optional<HttpReply>& reply);
-  bool TakeReply(const std::string& node, uint64_t known, const std::optional<HttpReply>& reply);
+  bool TakeReply(const Question& question, const std::optional<HttpReply>& reply);
+  void SourceFailed(const Question& question);
   void AnswerNow(std::unique_ptr<DownstreamRequest> request, const Known& known);
+  void NoteHolder(std::string_view node);
+  void AnswerTable(std::unique_ptr<DownstreamRequest> request, HeaderList headers);
   void EncodeOnce();
   const std::string* ChangeFrom(uint64_t known);
   std::shared_ptr<const ConfigTable> TableIn(const HttpReply& reply);
@@ -92,6 +107,7 @@
   EventLoop& m_loop;
   RandomSource& m_random;
   Hooks m_hooks;
+  std::string m_name;
   ConfigSourcePolicy m_policy;
   PeerClient& m_peers;
   std::shared_ptr<const EndpointList> m_endpoints;
@@ -107,12 +123,6 @@
   int64_t m_confirmed_us = 0;
   bool m_is_running = false;
   ConfigSource m_source = FromPlatform{};
-  // Questions to other nodes that may still be answered.
-  struct Question {
-    std::string node;
-    uint64_t known = 0;  // The version that the answer's change starts from.
-    std::unique_ptr<HttpQuery> query;
-  };
   std::map<uint64_t, Question> m_open;
   uint64_t m_next_question = 1;
   int64_t m_started_us = 0;
@@ -120,6 +130,10 @@
   uint64_t m_current = 0;          // The question that is not overdue yet; 0: none.
   std::map<uint64_t, Waiting> m_waiting;
   uint64_t m_next_waiting = 1;
+  TableReferrals m_referrals;
+  std::set<std::string, std::less<>> m_candidates;  // Nodes with links fast enough to be asked.
+  std::string m_holder;          // Named by a source, to be asked next; empty: none.
+  int m_referrals_followed = 0;  // Since the source of this node was asked.
   PendingReplies m_replies;
   Counter& m_questions;
   Counter& m_failures;
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -117,8 +117,9 @@
  public:
   explicit PendingReplies(EventLoop& loop) : m_deferred(loop) {}
 
+  // `ended` is called once, when the whole answer has been written (true) or the sender has gone.
   void Reply(std::unique_ptr<DownstreamRequest> request, int status, const HeaderList& headers,
-             std::string_view body = "");
+             std::string_view body = "", std::function<void(bool written)> ended = nullptr);
   bool empty() const { return m_requests.empty(); }
   // Called whenever the last one has been written.
   void SetEmptyHandler(std::function<void()> handler) { m_on_empty = std::move(handler); }
--- /dev/null
+++ b/src/table_referrals.cc
@@ -0,0 +1,44 @@
+#include "table_referrals.h"
+
+#include <algorithm>
+
+namespace guavatrail {
+
+void TableReferrals::Started(size_t bytes) {
+  ++m_tables;
+  m_bytes += bytes;
+}
+
+void TableReferrals::Ended(size_t bytes) {
+  --m_tables;
+  m_bytes -= bytes;
+}
+
+void TableReferrals::Holds(std::string_view node) {
+  bool is_known = std::any_of(m_holders.begin(), m_holders.end(),
+                              [&](const Holder& holder) { return holder.node == node; });
+  if (node.empty() || is_known || m_holders.size() >= m_options.max_holders) return;
+  m_holders.push_back({.node = std::string(node)});
+}
+
+void TableReferrals::Referred(std::string_view node) {
+  for (Holder& holder : m_holders) {
+    if (holder.node == node) ++holder.referrals;
+  }
+}
+
+// A holder that has left costs its asker one question; the asker then comes back here.
+TableReferrals::Answer TableReferrals::AnswerFor(std::string_view asker, size_t bytes) const {
+  if (m_tables < m_options.min_tables || m_bytes + bytes <= m_options.max_bytes) {
+    return SendTable{};
+  }
+  const Holder* best = nullptr;
+  for (const Holder& holder : m_holders) {
+    if (holder.node == asker) continue;
+    if (best == nullptr || holder.referrals < best->referrals) best = &holder;
+  }
+  if (best == nullptr) return AskLater{};
+  return AskNode{best->node};
+}
+
+}  // namespace guavatrail
--- /dev/null
+++ b/src/table_referrals.h
@@ -0,0 +1,65 @@
+// Defines TableReferrals, which decides whether a node sends its whole configuration to a node that
+// asks for it, or names another node that holds it. Pure.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace guavatrail {
+
+// Pattern: all nodes start at once, and all of them ask the few that read the configuration from
+// the platform. A node whose link carries a few tables at a time, and which names those that have
+// theirs already, starts a tree whose width grows with each level; one that sent all tables itself
+// would make each asker wait for all.
+class TableReferrals {
+ public:
+  struct Options {
+    // Bytes of whole tables under way at a time. A second of the slowest link that may watch
+    // carries several times this.
+    size_t max_bytes = 524'288;
+    // May be under way whatever their size.
+    size_t min_tables = 2;
+    // Holders that are remembered.
+    size_t max_holders = 64;
+  };
+
+  struct SendTable {};
+  struct AskNode {
+    std::string node;
+  };
+  struct AskLater {};
+  using Answer = std::variant<SendTable, AskNode, AskLater>;
+
+  TableReferrals() : TableReferrals(Options{}) {}
+  explicit TableReferrals(Options options) : m_options(options) {}
+
+  // Commands.
+  // A table of so many bytes is being sent.
+  void Started(size_t bytes);
+  void Ended(size_t bytes);
+  // `node` holds the table in force.
+  void Holds(std::string_view node);
+  // Somebody was told to ask `node`.
+  void Referred(std::string_view node);
+  // Another table is in force; nobody is known to hold it.
+  void TableChanged() { m_holders.clear(); }
+
+  // Query: what to answer to `asker`.
+  Answer AnswerFor(std::string_view asker, size_t bytes) const;
+
+ private:
+  struct Holder {
+    std::string node;
+    size_t referrals = 0;
+  };
+
+  Options m_options;
+  size_t m_tables = 0;  // Under way.
+  size_t m_bytes = 0;   // Of these.
+  std::vector<Holder> m_holders;
+};
+
+}  // namespace guavatrail
