Choose watchers by the links of the whole fleet

Such a node is no watcher any more unless fewer than two data centres have a faster one, and a node names holders with links like its own or faster. The test fails on the code before.

--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -29,9 +29,10 @@
 constexpr int kMaxReferrals = 8;
 // Versions that a follower may be behind and still get a change in place of the table.
 constexpr size_t kFormerTables = 8;
-// Nodes with at least this share of the fastest link of their data centre may watch: the store
-// sends whole configurations, and followers that start need them too.
+// A node with less than this share of the fastest link neither watches nor passes tables on: the
+// store sends whole configurations, and followers that start need them too.
 constexpr double kWatcherLinkShare = 0.5;
+constexpr int kMinFastDataCentres = 2;
 // A question waits at the source for a change for this time; when nothing has come for that and the
 // margin, another source is asked.
 constexpr std::chrono::milliseconds kWait{500};
@@ -62,6 +63,31 @@
   return "platform";
 }
 
+// The nodes with fast links. Where too few data centres have any, those that are fast for their
+// own.
+std::vector<Candidate> WatcherCandidates(const EndpointList& endpoints) {
+  double fastest = 0;
+  std::map<std::string, double> fastest_of;
+  for (const Endpoint& endpoint : endpoints.all()) {
+    // The node beside a server that leaves is about to go.
+    if (endpoint.draining) continue;
+    double& link = fastest_of[endpoint.data_centre];
+    link = std::max(link, endpoint.link_mbps);
+    fastest = std::max(fastest, link);
+  }
+  auto are_fast = std::count_if(fastest_of.begin(), fastest_of.end(), [&](const auto& item) {
+    return item.second >= kWatcherLinkShare * fastest;
+  });
+  std::vector<Candidate> candidates;
+  for (const Endpoint& endpoint : endpoints.all()) {
+    if (endpoint.draining) continue;
+    double link = are_fast < kMinFastDataCentres ? fastest_of[endpoint.data_centre] : fastest;
+    if (endpoint.link_mbps < kWatcherLinkShare * link) continue;
+    candidates.push_back({endpoint.node, endpoint.data_centre});
+  }
+  return candidates;
+}
+
 }  // namespace
 
 ConfigRelay::ConfigRelay(EventLoop& loop, Candidate self, PeerClient& peers, Metrics& metrics,
@@ -107,22 +133,7 @@
 void ConfigRelay::SetEndpoints(std::shared_ptr<const EndpointList> endpoints) {
   if (endpoints == m_endpoints) return;
   m_endpoints = std::move(endpoints);
-  std::map<std::string, double> fastest;
-  for (const Endpoint& endpoint : m_endpoints->all()) {
-    // The node beside a server that leaves is about to go.
-    if (endpoint.draining) continue;
-    double& link = fastest[endpoint.data_centre];
-    link = std::max(link, endpoint.link_mbps);
-  }
-  std::vector<Candidate> candidates;
-  m_candidates.clear();
-  for (const Endpoint& endpoint : m_endpoints->all()) {
-    if (endpoint.draining) continue;
-    if (endpoint.link_mbps < kWatcherLinkShare * fastest[endpoint.data_centre]) continue;
-    candidates.push_back({endpoint.node, endpoint.data_centre});
-    m_candidates.insert(endpoint.node);
-  }
-  m_policy.SetCandidates(candidates, m_endpoints->all().size());
+  m_policy.SetCandidates(WatcherCandidates(*m_endpoints), m_endpoints->all().size());
   AnswerWaiting();
 }
 
@@ -319,9 +330,13 @@
   return version() > known.version || m_hooks.endpoint_revision() > known.endpoint_revision;
 }
 
-// Others are not sent to a node with a thin link, nor to one that is leaving.
+// Others are not referred to a node with a much thinner link, nor to one that is leaving.
 void ConfigRelay::NoteHolder(std::string_view node) {
-  if (m_candidates.contains(node)) m_referrals.Holds(node);
+  const Endpoint* self = m_endpoints->FindNode(m_name);
+  const Endpoint* holder = m_endpoints->FindNode(node);
+  if (holder == nullptr || holder->draining) return;
+  double own_link = self == nullptr ? 0 : self->link_mbps;
+  if (holder->link_mbps >= kWatcherLinkShare * own_link) m_referrals.Holds(node);
 }
 
 void ConfigRelay::Answer(std::unique_ptr<DownstreamRequest> request) {
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "config_source.h"
@@ -131,7 +130,6 @@
   std::map<uint64_t, Waiting> m_waiting;
   uint64_t m_next_waiting = 1;
   TableReferrals m_referrals;
-  std::set<std::string, std::less<>> m_candidates;  // Nodes with links fast enough to be asked.
   std::string m_holder;          // Named by a source, to be asked next; empty: none.
   int m_referrals_followed = 0;  // Since the source of this node was asked.
   PendingReplies m_replies;
--- a/test/correctness/large_tables_are_passed_on_test.cc
+++ b/test/correctness/large_tables_are_passed_on_test.cc
@@ -86,6 +86,22 @@
   EXPECT_EQ(fourth->status(), 200);
 }
 
+// A thin link would carry the tables of all followers of its node.
+TEST_F(LargeTablesArePassedOn, ANodeWithAThinLinkDoesNotWatchWhereOthersAreFast) {
+  for (const char* data_centre : {"aveiro", "beja", "evora", "faro", "leiria", "viseu"}) {
+    bool is_watching = false;
+    ConfigRelay relay(m_loop, {"node-1", data_centre}, m_peers, m_metrics, m_random,
+                      {.adopt = [](auto) {}, .watch_platform = [&](bool on) { is_watching = on; }});
+    std::vector<Endpoint> endpoints = {EndpointAt("node-1", 1, 14), EndpointAt("node-2", 2, 140),
+                                       EndpointAt("node-3", 3, 140)};
+    endpoints[0].data_centre = data_centre;
+    endpoints[1].data_centre = "porto";
+    relay.SetEndpoints(std::make_shared<const EndpointList>(std::move(endpoints)));
+    relay.Start();
+    EXPECT_FALSE(is_watching) << data_centre;
+  }
+}
+
 // A follower whose source refers it to `named`.
 class ReferredFollower : public LargeTablesArePassedOn {
  protected:
