Give up a trial of the platform at its first failure in an outage

Once as many living sources are stale as show an outage, one failed call ends the trial; the sources are asked in turn until the next. With fewer witnesses nothing changes.

--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -58,6 +58,8 @@
   void SetTable(std::shared_ptr<const ConfigTable> table);
   // The platform has confirmed the table in force just now.
   void Confirm();
+  // A call to the platform has failed.
+  void PlatformLost();
   // Answers a question of another node.
   void Answer(std::unique_ptr<DownstreamRequest> request);
 
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -68,6 +68,8 @@
   ConfigSource SourceAt(int64_t now_us) const;
   // Whether `node` has failed of late, and is asked only for want of a better source.
   bool IsAvoided(std::string_view node, int64_t now_us) const;
+  // Whether so many living sources are stale that the platform is not well.
+  bool IsOutageLikely() const { return m_stale.size() >= m_options.outage_witnesses; }
   bool is_watcher() const { return m_is_watcher; }
   int64_t max_age_us() const { return m_options.max_age_us; }
   // Whether this node knows whom to ask, or that it is to watch itself.
