--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -6,36 +6,20 @@
 #include <utility>
 
 #include "config_codec.h"
+#include "config_relay_protocol.h"
 
 namespace guavatrail {
 
 namespace {
 
-constexpr char kVersionHeader[] = "X-Guavatrail-Config-Version";
-// Longest time to wait for a change before the answer, in ms.
-constexpr char kWaitHeader[] = "X-Guavatrail-Config-Wait-Ms";
-// Time since the platform confirmed the configuration, in ms.
-constexpr char kAgeHeader[] = "X-Guavatrail-Config-Age-Ms";
-// Revision of the platform's store up to which the endpoints are known.
-constexpr char kEndpointsHeader[] = "X-Guavatrail-Endpoints-Revision";
-// The body is a change from the asker's version, and this is the digest of its result.
-constexpr char kChangeHeader[] = "X-Guavatrail-Config-Digest";
-// The node that asks.
-constexpr char kAskerHeader[] = "X-Guavatrail-Config-Asker";
-// On a refusal of a source that is sending other whole tables: a node that holds the table, or
-// nothing when none is known.
-constexpr char kHolderHeader[] = "X-Guavatrail-Config-Holder";
 // Nodes named in turn before the source is asked again.
 constexpr int kMaxReferrals = 8;
+constexpr int64_t kUsPerMs = 1'000;
 // Versions that a follower may be behind and still get a change in place of the table.
 constexpr size_t kFormerTables = 8;
-// A node with less than this share of the fastest link neither watches nor passes tables on: the
-// store sends whole configurations, and followers that start need them too.
-constexpr double kWatcherLinkShare = 0.5;
+// Fewer data centres with fast links than this are too few for all watchers.
 constexpr int kMinFastDataCentres = 2;
-// A question waits at the source for a change for this time; when nothing has come for that and the
-// margin, another source is asked.
-constexpr std::chrono::milliseconds kWait{500};
+// When nothing has come from a source for the wait of the question and this, another is asked.
 constexpr std::chrono::milliseconds kMargin{400};
 // An overdue answer is still of use: on a full link it is late, not lost.
 constexpr std::chrono::milliseconds kLateTime{2'000};
@@ -56,7 +40,6 @@
 // After a source that is sending other whole tables and knows no holder.
 constexpr std::chrono::milliseconds kBusyPause{50};
 constexpr size_t kMaxTableBytes = 8'388'608;
-constexpr int64_t kUsPerMs = 1'000;
 
 std::string Describe(const ConfigSource& source) {
   if (const auto* node = std::get_if<FromNode>(&source)) return node->node;
@@ -204,7 +187,7 @@
   UpstreamRequest request{.method = EVHTTP_REQ_GET, .uri = kConfigPath};
   // A node that has lost its source wants to know at once whether it has missed a change.
   bool is_in_a_hurry = m_has_lost_source || version() == 0;
-  std::chrono::milliseconds wait = is_in_a_hurry ? std::chrono::milliseconds(0) : kWait;
+  std::chrono::milliseconds wait = is_in_a_hurry ? std::chrono::milliseconds(0) : kQuestionWait;
   request.headers = {{kVersionHeader, std::to_string(version())},
                      {kEndpointsHeader, std::to_string(m_hooks.expected_endpoint_revision())},
                      {kAskerHeader, m_name},
@@ -254,7 +237,7 @@
   m_has_lost_source = !is_answer || is_useless;
   m_overdue_timer.Cancel();
   bool has_nothing = !is_answer || version() == 0;
-  m_timer.Start(has_nothing ? kNoAnswerPause : is_last_resort ? kWait : kPause);
+  m_timer.Start(has_nothing ? kNoAnswerPause : is_last_resort ? kQuestionWait : kPause);
 }
 
 // The source is sending other tables; another node, or the source again after a pause, has it.
@@ -336,119 +319,4 @@
   return std::make_shared<const ConfigTable>(std::move(table));
 }
 
-bool ConfigRelay::HasNewsFor(const Known& known) const {
-  return version() > known.version || m_hooks.endpoint_revision() > known.endpoint_revision;
-}
-
-// Others are not referred to a node with a much thinner link, nor to one that is leaving.
-void ConfigRelay::NoteHolder(std::string_view node) {
-  const Endpoint* self = m_endpoints->FindNode(m_name);
-  const Endpoint* holder = m_endpoints->FindNode(node);
-  if (holder == nullptr || holder->draining) return;
-  double own_link = self == nullptr ? 0 : self->link_mbps;
-  if (holder->link_mbps >= kWatcherLinkShare * own_link) m_referrals.Holds(node);
-}
-
-void ConfigRelay::Answer(std::unique_ptr<DownstreamRequest> request) {
-  Known known = {static_cast<uint64_t>(NumberIn(request->headers(), kVersionHeader)),
-                 static_cast<uint64_t>(NumberIn(request->headers(), kEndpointsHeader))};
-  std::string_view asker = TextIn(request->headers(), kAskerHeader);
-  if (m_table != nullptr && known.version == version()) NoteHolder(asker);
-  if (HasNewsFor(known)) {
-    AnswerNow(std::move(request), known);
-    return;
-  }
-  uint64_t number = m_next_waiting++;
-  Waiting& waiting = m_waiting[number];
-  request->SetEndHandler([this, number](bool) { Forget(number); });
-  waiting.request = std::move(request);
-  waiting.known = known;
-  waiting.timer = std::make_unique<Timer>(m_loop, [this, number, known] {
-    auto it = m_waiting.find(number);
-    if (it == m_waiting.end() || it->second.request == nullptr) return;
-    it->second.request->SetEndHandler(nullptr);
-    AnswerNow(std::move(it->second.request), known);
-    Forget(number);
-  });
-  bool has_wait = FindHeader(waiting.request->headers(), kWaitHeader) != nullptr;
-  std::chrono::milliseconds wait(NumberIn(waiting.request->headers(), kWaitHeader));
-  waiting.timer->Start(has_wait ? std::min(wait, kWait) : kWait);
-}
-
-// Both the end of the wait and the end of the connection may come in one turn of the loop, and each
-// of them in a callback of what is removed.
-void ConfigRelay::Forget(uint64_t waiting) {
-  m_deferred.Post([this, waiting] { m_waiting.erase(waiting); });
-}
-
-void ConfigRelay::AnswerWaiting() {
-  for (auto& [number, waiting] : m_waiting) {
-    if (waiting.request == nullptr || !HasNewsFor(waiting.known)) continue;
-    waiting.timer->Start(std::chrono::microseconds(0));
-  }
-}
-
-void ConfigRelay::AnswerNow(std::unique_ptr<DownstreamRequest> request, const Known& known) {
-  int64_t age_ms = (EventLoop::NowUs() - m_confirmed_us) / kUsPerMs;
-  HeaderList headers = {{kVersionHeader, std::to_string(version())},
-                        {kAgeHeader, std::to_string(std::max<int64_t>(0, age_ms))},
-                        {kEndpointsHeader, std::to_string(m_hooks.endpoint_revision())}};
-  if (version() <= known.version) {
-    m_replies.Reply(std::move(request), kHttpNotModified, headers);
-    return;
-  }
-  EncodeOnce();
-  const std::string* change = ChangeFrom(known.version);
-  if (change == nullptr) {
-    AnswerTable(std::move(request), std::move(headers));
-    return;
-  }
-  headers.emplace_back(kChangeHeader, m_digest);
-  request->Expedite();
-  m_replies.Reply(std::move(request), kHttpOk, headers, *change);
-}
-
-// Sends the whole table, or refers the asker to another node when others are under way.
-void ConfigRelay::AnswerTable(std::unique_ptr<DownstreamRequest> request, HeaderList headers) {
-  std::string_view asker = TextIn(request->headers(), kAskerHeader);
-  size_t bytes = m_encoded.size();
-  TableReferrals::Answer answer = m_referrals.AnswerFor(asker, bytes);
-  if (std::holds_alternative<TableReferrals::SendTable>(answer)) {
-    m_referrals.Started(bytes);
-    request->Expedite();
-    m_replies.Reply(std::move(request), kHttpOk, headers, m_encoded,
-                    [this, bytes, node = std::string(asker), sent = version()](bool written) {
-                      m_referrals.Ended(bytes);
-                      if (written && sent == version()) NoteHolder(node);
-                    });
-    return;
-  }
-  const auto* other = std::get_if<TableReferrals::AskNode>(&answer);
-  if (other != nullptr) m_referrals.Referred(other->node);
-  headers.emplace_back(kHolderHeader, other == nullptr ? "" : other->node);
-  m_replies.Reply(std::move(request), kHttpServiceUnavailable, headers);
-}
-
-void ConfigRelay::EncodeOnce() {
-  if (!m_encoded.empty()) return;
-  m_encoded = EncodeTable(*m_table);
-  m_digest = DigestOf(m_encoded);
-}
-
-// Null when the version is not known any more, or the change is not smaller or not only one of
-// resources.
-const std::string* ConfigRelay::ChangeFrom(uint64_t known) {
-  for (Former& former : m_former) {
-    if (former.table->version() != known) continue;
-    if (former.table->limits() != m_table->limits()) return nullptr;
-    if (former.change.empty()) {
-      ReleaseNote note = m_table->ChangeSince(*former.table);
-      if (!ValidateNote(note)) return nullptr;
-      former.change = EncodeNote(note);
-    }
-    return former.change.size() < m_encoded.size() ? &former.change : nullptr;
-  }
-  return nullptr;
-}
-
 }  // namespace guavatrail
