Send as many tables at a time as the link carries

By bytes alone a node with 140 Mbit/s had two large tables under way, and the links of its askers, of 14 Mbit/s on the large site, then set its speed. The bound is what its own link carries in 100 ms, two tables at least.

--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -116,6 +116,8 @@
 void ConfigRelay::SetEndpoints(std::shared_ptr<const EndpointList> endpoints) {
   if (endpoints == m_endpoints) return;
   m_endpoints = std::move(endpoints);
+  const Endpoint* self = m_endpoints->FindNode(m_name);
+  if (self != nullptr && self->link_mbps > 0) m_referrals.SetLinkMbps(self->link_mbps);
   m_policy.SetCandidates(WatcherCandidates(*m_endpoints), m_endpoints->all().size());
   AnswerWaiting();
 }
--- a/src/table_referrals.cc
+++ b/src/table_referrals.cc
@@ -4,6 +4,14 @@
 
 namespace guavatrail {
 
+// The links of the askers may be much thinner, so a fast link needs many tables under way to be
+// used.
+void TableReferrals::SetLinkMbps(double mbps) {
+  constexpr double kBytesPerMbit = 1e6 / 8;
+  std::chrono::duration<double> time = m_options.link_time;
+  m_max_bytes = static_cast<size_t>(mbps * kBytesPerMbit * time.count());
+}
+
 void TableReferrals::Started(size_t bytes) {
   ++m_tables;
   m_bytes += bytes;
@@ -29,7 +37,7 @@
 
 // A holder that has left costs its asker one question; the asker then comes back here.
 TableReferrals::Answer TableReferrals::AnswerFor(std::string_view asker, size_t bytes) const {
-  if (m_tables < m_options.min_tables || m_bytes + bytes <= m_options.max_bytes) {
+  if (m_tables < m_options.min_tables || m_bytes + bytes <= m_max_bytes) {
     return SendTable{};
   }
   const Holder* best = nullptr;
--- a/src/table_referrals.h
+++ b/src/table_referrals.h
@@ -2,6 +2,7 @@
 // asks for it, or names another node that holds it. Pure.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -17,9 +18,10 @@
 class TableReferrals {
  public:
   struct Options {
-    // Bytes of whole tables under way at a time. A second of the slowest link that may watch
-    // carries several times this.
-    size_t max_bytes = 524'288;
+    // Tables under way take the link of the node for so long, ...
+    std::chrono::milliseconds link_time{100};
+    // ... or have so many bytes while its bandwidth is not known.
+    size_t unknown_link_bytes = 524'288;
     // May be under way whatever their size.
     size_t min_tables = 2;
     // Holders that are remembered.
@@ -34,9 +36,12 @@
   using Answer = std::variant<SendTable, AskNode, AskLater>;
 
   TableReferrals() : TableReferrals(Options{}) {}
-  explicit TableReferrals(Options options) : m_options(options) {}
+  explicit TableReferrals(Options options)
+      : m_options(options), m_max_bytes(options.unknown_link_bytes) {}
 
   // Commands.
+  // The link of this node carries so many Mbit/s.
+  void SetLinkMbps(double mbps);
   // A table of so many bytes is being sent.
   void Started(size_t bytes);
   void Ended(size_t bytes);
@@ -57,6 +62,7 @@
   };
 
   Options m_options;
+  size_t m_max_bytes;   // Under way.
   size_t m_tables = 0;  // Under way.
   size_t m_bytes = 0;   // Of these.
   std::vector<Holder> m_holders;
--- a/test/correctness/table_referrals_test.cc
+++ b/test/correctness/table_referrals_test.cc
@@ -30,6 +30,20 @@
   }
 }
 
+// Askers on thin links take long for each table, however fast the link of their source is.
+TEST(TableReferrals, AFastLinkSendsManyTablesAtATime) {
+  for (auto [mbps, tables] : {std::pair(140.0, 4), std::pair(70.0, 2), std::pair(7.0, 2)}) {
+    TableReferrals referrals;
+    referrals.SetLinkMbps(mbps);
+    int sent = 0;
+    while (Is<TableReferrals::SendTable>(referrals.AnswerFor("node-9", kTableBytes))) {
+      referrals.Started(kTableBytes);
+      ++sent;
+    }
+    EXPECT_EQ(sent, tables) << mbps;
+  }
+}
+
 TEST(TableReferrals, AskersComeBackWhileNobodyHoldsTheTable) {
   TableReferrals referrals;
   for (int i = 0; i < 2; ++i) referrals.Started(kTableBytes);
@@ -67,7 +81,8 @@
   StartingMesh(size_t nodes, size_t table_bytes, bool refers)
       : m_table_bytes(table_bytes), m_nodes(nodes) {
     for (size_t i = 0; i < nodes; ++i) {
-      if (!refers) m_nodes[i].referrals = TableReferrals({.max_bytes = nodes * table_bytes});
+      if (!refers)
+        m_nodes[i].referrals = TableReferrals({.unknown_link_bytes = nodes * table_bytes});
       m_nodes[i].has_table = i < kSources;
       m_nodes[i].source = m_nodes[i].target = i % kSources;
     }
