Stay with a platform that answered a moment ago when one call to it fails

Found on reading. Once three watchers were stale, a single failed call made a follower leave the platform for 2 to 4 s, also when the platform served this node and only the watchers were cut off from it: longer than a change may take. ConfigRelay::Step already judges whether the platform has been silent; PlatformLost judged it a second time, without that check. It now only brings the judgement of Step forward. The new test fails on the code before; the test of the outage holds unchanged.

--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -137,13 +137,10 @@
 void ConfigRelay::Confirm() { m_confirmed_us = EventLoop::NowUs(); }
 
 // In an outage that the watchers suffer too, one call of each follower is enough to see that it
-// goes on.
+// goes on, so the trial is judged now and not at its end.
 void ConfigRelay::PlatformLost() {
-  bool is_trial = m_is_running && std::holds_alternative<FromPlatform>(m_source) &&
-                  !m_policy.is_watcher() && m_policy.IsOutageLikely();
-  if (!is_trial) return;
-  m_policy.PlatformFailed(EventLoop::NowUs(), m_random.Unit());
-  m_timer.Start(kPause);
+  bool is_from_platform = std::holds_alternative<FromPlatform>(m_source);
+  if (m_is_running && is_from_platform && m_policy.IsOutageLikely()) m_timer.Start(kPause);
 }
 
 // Whether the platform has confirmed nothing for longer than one that answers takes between two
--- a/test/correctness/outage_costs_one_call_a_trial_test.cc
+++ b/test/correctness/outage_costs_one_call_a_trial_test.cc
@@ -52,12 +52,17 @@
     if (!m_is_following) return;
     ++m_calls;
     m_call.Start(kCallPause);
-    m_relay.PlatformLost();
+    if (m_platform_answers) {
+      m_relay.Confirm();
+    } else {
+      m_relay.PlatformLost();
+    }
   }
 
   EventLoop m_loop;
   Metrics m_metrics;
   RandomSource m_random{7};
+  bool m_platform_answers = false;
   bool m_is_following = false;
   int m_trials = 0;
   int m_calls = 0;
@@ -75,5 +80,16 @@
   EXPECT_LE(m_calls, m_trials);
 }
 
+// The watchers may be cut off from a platform that answers this node and fails one call.
+TEST_F(FollowerInAnOutage, StaysWithAPlatformThatAnsweredAMomentAgo) {
+  m_platform_answers = true;
+  ASSERT_TRUE(RunUntil(
+      m_loop, [&] { return m_calls == 3; }, std::chrono::milliseconds(8'000)));
+  m_relay.PlatformLost();
+  RunFor(m_loop, std::chrono::milliseconds(300));
+  EXPECT_TRUE(m_is_following);
+  EXPECT_EQ(m_trials, 1);
+}
+
 }  // namespace
 }  // namespace guavatrail
