Give the choice of watchers and the thin-link rule to the pure modules that own them

From reading the whole change once more; no behaviour is meant to change. - WatcherCandidates decided in ConfigRelay who may watch; it is part of config_source now, and its second constant for two data centres is gone (kMinWatchers). - TableReferrals knows the link of its node for the number of tables, and judges by it too which holder is too thin; ConfigRelay looked the own endpoint up for each question. While the own endpoint is not listed, both now hold for an unknown link. - TwoChoices copied the local servers for each choice; it draws from a part of the pool in place. - EntryProxy::CheckIdle calls is_idle; entries of an update are looked at once. - Two tests each had the same table and the same stale answer of their own: config_answers.

--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -17,8 +17,6 @@
 constexpr int64_t kUsPerMs = 1'000;
 // Versions that a follower may be behind and still get a change in place of the table.
 constexpr size_t kFormerTables = 8;
-// Fewer data centres with fast links than this are too few for all watchers.
-constexpr int kMinFastDataCentres = 2;
 // When nothing has come from a source for the wait of the question and this, another is asked.
 constexpr std::chrono::milliseconds kMargin{400};
 // An overdue answer is still of use: on a full link it is late, not lost.
@@ -46,31 +44,6 @@
   return "platform";
 }
 
-// The nodes with fast links. Where too few data centres have any, those that are fast for their
-// own.
-std::vector<Candidate> WatcherCandidates(const EndpointList& endpoints) {
-  double fastest = 0;
-  std::map<std::string, double> fastest_of;
-  for (const Endpoint& endpoint : endpoints.all()) {
-    // The node beside a server that leaves is about to go.
-    if (endpoint.draining) continue;
-    double& link = fastest_of[endpoint.data_centre];
-    link = std::max(link, endpoint.link_mbps);
-    fastest = std::max(fastest, link);
-  }
-  auto are_fast = std::count_if(fastest_of.begin(), fastest_of.end(), [&](const auto& item) {
-    return item.second >= kWatcherLinkShare * fastest;
-  });
-  std::vector<Candidate> candidates;
-  for (const Endpoint& endpoint : endpoints.all()) {
-    if (endpoint.draining) continue;
-    double link = are_fast < kMinFastDataCentres ? fastest_of[endpoint.data_centre] : fastest;
-    if (endpoint.link_mbps < kWatcherLinkShare * link) continue;
-    candidates.push_back({endpoint.node, endpoint.data_centre});
-  }
-  return candidates;
-}
-
 }  // namespace
 
 ConfigRelay::ConfigRelay(EventLoop& loop, Candidate self, PeerClient& peers, Metrics& metrics,
@@ -117,7 +90,7 @@
   if (endpoints == m_endpoints) return;
   m_endpoints = std::move(endpoints);
   const Endpoint* self = m_endpoints->FindNode(m_name);
-  if (self != nullptr && self->link_mbps > 0) m_referrals.SetLinkMbps(self->link_mbps);
+  m_referrals.SetLinkMbps(self == nullptr ? 0 : self->link_mbps);
   m_policy.SetCandidates(WatcherCandidates(*m_endpoints), m_endpoints->all().size());
   AnswerWaiting();
 }
--- a/src/config_relay_answers.cc
+++ b/src/config_relay_answers.cc
@@ -17,13 +17,11 @@
   return version() > known.version || m_hooks.endpoint_revision() > known.endpoint_revision;
 }
 
-// Others are not referred to a node with a much thinner link, nor to one that is leaving.
+// Others are not referred to a node that is leaving.
 void ConfigRelay::NoteHolder(std::string_view node) {
-  const Endpoint* self = m_endpoints->FindNode(m_name);
   const Endpoint* holder = m_endpoints->FindNode(node);
   if (holder == nullptr || holder->draining) return;
-  double own_link = self == nullptr ? 0 : self->link_mbps;
-  if (holder->link_mbps >= kWatcherLinkShare * own_link) m_referrals.Holds(node);
+  m_referrals.Holds(node, holder->link_mbps);
 }
 
 void ConfigRelay::Answer(std::unique_ptr<DownstreamRequest> request) {
--- a/src/config_relay_protocol.h
+++ b/src/config_relay_protocol.h
@@ -22,8 +22,5 @@
 inline constexpr char kHolderHeader[] = "X-Guavatrail-Config-Holder";
 // A question waits at the source for a change for this time.
 inline constexpr std::chrono::milliseconds kQuestionWait{500};
-// A node with less than this share of the fastest link does not watch, and one with less than this
-// share of the link of a source does not pass its table on: whole tables are large.
-inline constexpr double kWatcherLinkShare = 0.5;
 
 }  // namespace guavatrail
--- a/src/config_source.cc
+++ b/src/config_source.cc
@@ -9,17 +9,44 @@
 
 namespace {
 
-constexpr size_t kMinWatchers = 2;
+// Watchers, each in a data centre of its own.
+constexpr int kMinWatchers = 2;
+// A node with less than this share of the fastest link does not watch: the store sends whole
+// configurations, and followers that start need them too.
+constexpr double kWatcherLinkShare = 0.5;
 
 }  // namespace
 
+std::vector<Candidate> WatcherCandidates(const EndpointList& endpoints) {
+  double fastest = 0;
+  std::map<std::string, double> fastest_of;
+  for (const Endpoint& endpoint : endpoints.all()) {
+    // The node beside a server that leaves is about to go.
+    if (endpoint.draining) continue;
+    double& link = fastest_of[endpoint.data_centre];
+    link = std::max(link, endpoint.link_mbps);
+    fastest = std::max(fastest, link);
+  }
+  auto are_fast = std::count_if(fastest_of.begin(), fastest_of.end(), [&](const auto& item) {
+    return item.second >= kWatcherLinkShare * fastest;
+  });
+  std::vector<Candidate> candidates;
+  for (const Endpoint& endpoint : endpoints.all()) {
+    if (endpoint.draining) continue;
+    double link = are_fast < kMinWatchers ? fastest_of[endpoint.data_centre] : fastest;
+    if (endpoint.link_mbps < kWatcherLinkShare * link) continue;
+    candidates.push_back({endpoint.node, endpoint.data_centre});
+  }
+  return candidates;
+}
+
 void ConfigSourcePolicy::SetCandidates(const std::vector<Candidate>& candidates,
                                        size_t fleet_size) {
   std::set<std::string> names;
   for (const Candidate& candidate : candidates) names.insert(candidate.data_centre);
   size_t wanted = (fleet_size + m_options.nodes_per_watcher - 1) / m_options.nodes_per_watcher;
   std::vector<std::string> watching =
-      RendezvousTop("config", {names.begin(), names.end()}, std::max(kMinWatchers, wanted));
+      RendezvousTop("config", {names.begin(), names.end()}, std::max<size_t>(kMinWatchers, wanted));
   // Nodes without a watcher in their data centre spread over all of them.
   std::vector<std::string> order =
       RendezvousTop("config " + m_self.node, watching, watching.size());
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "delivery.h"
+#include "endpoint.h"
 
 namespace guavatrail {
 
@@ -24,6 +25,10 @@
 };
 using ConfigSource = std::variant<FromPlatform, FromNode>;
 
+// The nodes that may watch, those with fast links. Where too few data centres have any, those that
+// are fast for their own.
+std::vector<Candidate> WatcherCandidates(const EndpointList& endpoints);
+
 // Each watch of the platform costs, and each change ends them all; so a few nodes in different data
 // centres watch and the others follow the one of their own data centre, or any other if there is
 // none. A node whose watcher has gone silent, or has itself not heard from the platform for a
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -89,7 +89,7 @@
 }
 
 void EntryProxy::CheckIdle() {
-  if (!m_draining || !m_calls.empty() || !m_replies.empty() || !m_on_idle) return;
+  if (!m_draining || !is_idle() || !m_on_idle) return;
   std::function<void()> idle = std::move(m_on_idle);
   m_on_idle = nullptr;
   idle();
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -162,15 +162,6 @@
   return pool;
 }
 
-std::vector<size_t> TwoChoices::FirstDraws(std::span<const PlacementCandidate> candidates,
-                                           std::span<const size_t> pool) const {
-  std::vector<size_t> local;
-  for (size_t index : pool) {
-    if (IsLocal(candidates[index])) local.push_back(index);
-  }
-  return local.empty() ? std::vector<size_t>(pool.begin(), pool.end()) : local;
-}
-
 size_t TwoChoices::Draw(std::span<const PlacementCandidate> candidates,
                         std::span<const size_t> pool, RandomSource& random) const {
   size_t index = 0;
@@ -190,7 +181,12 @@
   UpdateSpill(candidates);
   std::vector<size_t> pool = PoolOf(candidates);
   if (pool.size() == 1) return pool.front();
-  size_t first = Draw(candidates, FirstDraws(candidates, pool), random);
+  // The first is a local one where there is any.
+  auto remote = std::partition(pool.begin(), pool.end(),
+                               [&](size_t index) { return IsLocal(candidates[index]); });
+  auto locals = static_cast<size_t>(remote - pool.begin());
+  std::span<const size_t> first_draws(pool.data(), locals > 0 ? locals : pool.size());
+  size_t first = Draw(candidates, first_draws, random);
   std::erase(pool, first);
   size_t second = Draw(candidates, pool, random);
   Neutral neutral = NeutralOf(candidates);
--- a/src/placement.h
+++ b/src/placement.h
@@ -75,9 +75,6 @@
 
  private:
   std::vector<size_t> PoolOf(std::span<const PlacementCandidate> candidates) const;
-  // The local servers of `pool`, or all of it when none is local.
-  std::vector<size_t> FirstDraws(std::span<const PlacementCandidate> candidates,
-                                 std::span<const size_t> pool) const;
   // One of `pool`.
   size_t Draw(std::span<const PlacementCandidate> candidates, std::span<const size_t> pool,
               RandomSource& random) const;
--- a/src/table_referrals.cc
+++ b/src/table_referrals.cc
@@ -6,10 +6,11 @@
 
 // The links of the askers may be much thinner, so a fast link needs many tables under way to be
 // used.
-void TableReferrals::SetLinkMbps(double mbps) {
+size_t TableReferrals::MaxBytes() const {
   constexpr double kBytesPerMbit = 1e6 / 8;
+  if (m_link_mbps <= 0) return m_options.unknown_link_bytes;
   std::chrono::duration<double> time = m_options.link_time;
-  m_max_bytes = static_cast<size_t>(mbps * kBytesPerMbit * time.count());
+  return static_cast<size_t>(m_link_mbps * kBytesPerMbit * time.count());
 }
 
 void TableReferrals::Started(size_t bytes) {
@@ -22,7 +23,8 @@
   m_bytes -= bytes;
 }
 
-void TableReferrals::Holds(std::string_view node) {
+void TableReferrals::Holds(std::string_view node, double link_mbps) {
+  if (link_mbps < m_options.min_link_share * m_link_mbps) return;
   bool is_known = std::any_of(m_holders.begin(), m_holders.end(),
                               [&](const Holder& holder) { return holder.node == node; });
   if (node.empty() || is_known || m_holders.size() >= m_options.max_holders) return;
@@ -37,7 +39,7 @@
 
 // A holder that has left costs its asker one question; the asker then comes back here.
 TableReferrals::Answer TableReferrals::AnswerFor(std::string_view asker, size_t bytes) const {
-  if (m_tables < m_options.min_tables || m_bytes + bytes <= m_max_bytes) {
+  if (m_tables < m_options.min_tables || m_bytes + bytes <= MaxBytes()) {
     return SendTable{};
   }
   const Holder* best = nullptr;
--- a/src/table_referrals.h
+++ b/src/table_referrals.h
@@ -24,6 +24,8 @@
     size_t unknown_link_bytes = 524'288;
     // May be under way whatever their size.
     size_t min_tables = 2;
+    // A node with less than this share of the link of this one is not named.
+    double min_link_share = 0.5;
     // Holders that are remembered.
     size_t max_holders = 64;
   };
@@ -36,17 +38,16 @@
   using Answer = std::variant<SendTable, AskNode, AskLater>;
 
   TableReferrals() : TableReferrals(Options{}) {}
-  explicit TableReferrals(Options options)
-      : m_options(options), m_max_bytes(options.unknown_link_bytes) {}
+  explicit TableReferrals(Options options) : m_options(options) {}
 
   // Commands.
-  // The link of this node carries so many Mbit/s.
-  void SetLinkMbps(double mbps);
+  // The link of this node carries so many Mbit/s; 0 when that is not known.
+  void SetLinkMbps(double mbps) { m_link_mbps = mbps; }
   // A table of so many bytes is being sent.
   void Started(size_t bytes);
   void Ended(size_t bytes);
-  // `node` holds the table in force.
-  void Holds(std::string_view node);
+  // `node`, with a link of so many Mbit/s, holds the table in force.
+  void Holds(std::string_view node, double link_mbps);
   // Somebody was told to ask `node`.
   void Referred(std::string_view node);
   // Another table is in force; nobody is known to hold it.
@@ -61,10 +62,13 @@
     size_t referrals = 0;
   };
 
+  // Bytes that may be under way.
+  size_t MaxBytes() const;
+
   Options m_options;
-  size_t m_max_bytes;   // Under way.
-  size_t m_tables = 0;  // Under way.
-  size_t m_bytes = 0;   // Of these.
+  double m_link_mbps = 0;  // 0: not known.
+  size_t m_tables = 0;     // Under way.
+  size_t m_bytes = 0;      // Of these.
   std::vector<Holder> m_holders;
 };
 
--- a/test/correctness/config_relay_survives_leaving_followers_test.cc
+++ b/test/correctness/config_relay_survives_leaving_followers_test.cc
@@ -2,6 +2,7 @@
 // twice, which ended the process.
 #include <gtest/gtest.h>
 
+#include "config_answers.h"
 #include "config_relay.h"
 #include "fake_server.h"
 #include "test_loop.h"
@@ -9,11 +10,6 @@
 namespace guavatrail {
 namespace {
 
-std::shared_ptr<const ConfigTable> TableAt(uint64_t version) {
-  return std::make_shared<const ConfigTable>(
-      *ConfigTable::FromResources(version, {Service{.name = "catalogo"}}));
-}
-
 class ConfigRelaySurvivesLeavingFollowers : public testing::Test {
  protected:
   ConfigRelaySurvivesLeavingFollowers()
--- a/test/correctness/follower_stays_with_a_platform_that_answers_test.cc
+++ b/test/correctness/follower_stays_with_a_platform_that_answers_test.cc
@@ -3,6 +3,7 @@
 // seconds.
 #include <gtest/gtest.h>
 
+#include "config_answers.h"
 #include "config_relay.h"
 #include "fake_server.h"
 #include "test_loop.h"
@@ -17,12 +18,7 @@
 class FollowerOfAStaleSource : public testing::Test {
  protected:
   FollowerOfAStaleSource()
-      : m_source(m_loop,
-                 [](FakeConnection& c, const std::string&) {
-                   c.Send(
-                       "HTTP/1.1 304 Not Modified\r\nX-Guavatrail-Config-Version: 1\r\n"
-                       "X-Guavatrail-Config-Age-Ms: 60000\r\n\r\n");
-                 }),
+      : m_source(m_loop, &AnswerStale),
         m_peers(m_loop, ""),
         m_relay(m_loop, {"node-1", "braga"}, m_peers, m_metrics, m_random,
                 {.adopt = [](auto) {},
@@ -37,8 +33,7 @@
           if (m_watches && m_platform_answers) m_relay.Confirm();
           m_confirmations.Start(kConfirmations);
         }) {
-    m_relay.SetTable(std::make_shared<const ConfigTable>(
-        *ConfigTable::FromResources(1, {Service{.name = "catalogo"}})));
+    m_relay.SetTable(TableAt(1));
     m_relay.Confirm();
     m_confirmations.Start(kConfirmations);
     std::vector<Endpoint> endpoints(2);
--- a/test/correctness/late_config_answers_count_test.cc
+++ b/test/correctness/late_config_answers_count_test.cc
@@ -4,6 +4,7 @@
 
 #include <list>
 
+#include "config_answers.h"
 #include "config_codec.h"
 #include "config_relay.h"
 #include "fake_server.h"
@@ -15,11 +16,6 @@
 
 constexpr std::chrono::milliseconds kLateAnswer{1'200};
 
-std::shared_ptr<const ConfigTable> TableAt(uint64_t version) {
-  return std::make_shared<const ConfigTable>(
-      *ConfigTable::FromResources(version, {Service{.name = "catalogo"}}));
-}
-
 // A follower on a thin link, and a watcher whose answers take `kLateAnswer`.
 class LateConfigAnswersCount : public testing::Test {
  protected:
--- a/test/correctness/outage_costs_one_call_a_trial_test.cc
+++ b/test/correctness/outage_costs_one_call_a_trial_test.cc
@@ -2,6 +2,7 @@
 // of followers whose watchers were stale did so at once.
 #include <gtest/gtest.h>
 
+#include "config_answers.h"
 #include "config_relay.h"
 #include "fake_server.h"
 #include "test_loop.h"
@@ -16,19 +17,13 @@
 class FollowerInAnOutage : public testing::Test {
  protected:
   FollowerInAnOutage()
-      : m_sources(m_loop,
-                  [](FakeConnection& c, const std::string&) {
-                    c.Send(
-                        "HTTP/1.1 304 Not Modified\r\nX-Guavatrail-Config-Version: 1\r\n"
-                        "X-Guavatrail-Config-Age-Ms: 60000\r\n\r\n");
-                  }),
+      : m_sources(m_loop, &AnswerStale),
         m_peers(m_loop, ""),
         m_relay(m_loop, {"node-1", "braga"}, m_peers, m_metrics, m_random,
                 {.adopt = [](auto) {}, .watch_platform = [this](bool on) { Follow(on); }},
                 {.nodes_per_watcher = 1}),
         m_call(m_loop, [this] { Call(); }) {
-    m_relay.SetTable(std::make_shared<const ConfigTable>(
-        *ConfigTable::FromResources(1, {Service{.name = "catalogo"}})));
+    m_relay.SetTable(TableAt(1));
     std::vector<Endpoint> endpoints(5);
     int number = 0;
     for (Endpoint& endpoint : endpoints) {
--- a/test/correctness/table_referrals_test.cc
+++ b/test/correctness/table_referrals_test.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr size_t kTableBytes = 400'000;
+constexpr double kLinkMbps = 42;
 
 template <typename T>
 bool Is(const TableReferrals::Answer& answer) {
@@ -55,7 +56,7 @@
 TEST(TableReferrals, AskersAreSpreadOverThoseWhoHoldIt) {
   TableReferrals referrals;
   for (int i = 0; i < 2; ++i) referrals.Started(kTableBytes);
-  for (const char* node : {"node-1", "node-2", "node-1"}) referrals.Holds(node);
+  for (const char* node : {"node-1", "node-2", "node-1"}) referrals.Holds(node, kLinkMbps);
   EXPECT_EQ(NodeIn(referrals.AnswerFor("node-9", kTableBytes)), "node-1");
   referrals.Referred("node-1");
   EXPECT_EQ(NodeIn(referrals.AnswerFor("node-9", kTableBytes)), "node-2");
@@ -63,10 +64,20 @@
   EXPECT_EQ(NodeIn(referrals.AnswerFor("node-1", kTableBytes)), "node-2");
 }
 
+TEST(TableReferrals, AHolderWithAMuchThinnerLinkIsNotNamed) {
+  TableReferrals referrals;
+  referrals.SetLinkMbps(kLinkMbps);
+  for (int i = 0; i < 2; ++i) referrals.Started(kTableBytes);
+  referrals.Holds("node-1", 0.4 * kLinkMbps);
+  EXPECT_TRUE(Is<TableReferrals::AskLater>(referrals.AnswerFor("node-9", kTableBytes)));
+  referrals.Holds("node-2", 0.6 * kLinkMbps);
+  EXPECT_EQ(NodeIn(referrals.AnswerFor("node-9", kTableBytes)), "node-2");
+}
+
 TEST(TableReferrals, HoldersOfAnEarlierTableAreNotNamed) {
   TableReferrals referrals;
   for (int i = 0; i < 2; ++i) referrals.Started(kTableBytes);
-  referrals.Holds("node-1");
+  referrals.Holds("node-1", kLinkMbps);
   referrals.TableChanged();
   EXPECT_TRUE(Is<TableReferrals::AskLater>(referrals.AnswerFor("node-9", kTableBytes)));
 }
@@ -100,7 +111,7 @@
   }
 
  private:
-  static constexpr double kLinkBytesPerTick = 42e6 / 8 / 1000 * kTickMs;
+  static constexpr double kLinkBytesPerTick = kLinkMbps * 1e6 / 8 / 1000 * kTickMs;
   static constexpr int kPauseMs = 50;
 
   struct Transfer {
@@ -143,9 +154,9 @@
       node.referrals.Ended(m_table_bytes);
       Node& receiver = m_nodes[transfer.to];
       receiver.has_table = true;
-      node.referrals.Holds(std::to_string(transfer.to));
+      node.referrals.Holds(std::to_string(transfer.to), kLinkMbps);
       // Its next question names the version that it has.
-      m_nodes[receiver.source].referrals.Holds(std::to_string(transfer.to));
+      m_nodes[receiver.source].referrals.Holds(std::to_string(transfer.to), kLinkMbps);
     }
     std::erase_if(node.sending, [](const Transfer& transfer) { return transfer.left <= 0; });
   }
