--- a/tools/test.sh
+++ b/tools/test.sh
@@ -4,7 +4,8 @@
 cd "$(dirname "$0")/.."
 tools/install-packages.sh
 tools/build.sh build
-ctest --test-dir build --output-on-failure -j 8
+python3 test/known_red_test.py
+python3 test/run_unit_tests.py build
 python3 test/scenarios/selftest.py
 python3 test/scenarios/run.py --jobs 3 --known-red KNOWN-RED.txt
 python3 test/soak/checks_test.py
