Log the limit and the leave that a backend server states in an answer

The logs could not tell whether a node evaluates the limit of a server, keeps it for itself only, or forgets it. Each served request now shows what the answer stated. No decision changes.

--- a/src/external_protocol.h
+++ b/src/external_protocol.h
@@ -20,6 +20,11 @@
   std::string expected_server_header;
   // Marks an answer by which a backend server states that it did not run the request.
   std::string not_run_header;
+  // In an answer of a backend server: the requests a second that it takes from all nodes together,
+  // a decimal number. The limit applies for as long as the answers name it.
+  std::string server_limit_header;
+  // "1" in an answer of a backend server: it is about to stop and must get no new work.
+  std::string server_leaving_header;
   // Whether X-Guavatrail-* headers are sent to callers and backend servers.
   bool exposes_node_headers = true;
   // Whether callers accept fractions of a second in Retry-After.
--- a/src/serving_call.h
+++ b/src/serving_call.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "deadline.h"
+#include "server_notice.h"
 #include "serving_proxy.h"
 #include "stream_relay.h"
 
@@ -38,6 +39,7 @@
   int64_t wait_ms = 0;         // Predicted wait, sent with a refused offer.
   std::string server_id;       // Backend server that the request was sent to.
   int server_status = 0;       // Status of the server's answer; 0 until it has arrived.
+  ServerNotice notice;         // Of the server's answer.
   WorkTag work;
   Phase phase = Phase::kQueued;
   int64_t deadline_us = 0;
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -210,7 +210,9 @@
             << " server_ms=" << (now_us - start_us) / kUsPerMs
             << " left_ms=" << (call.deadline_us - now_us) / kUsPerMs
             << " in_service=" << load.in_service << " queued=" << load.queued
-            << " retry_after_ms=" << call.retry_after_ms;
+            << " retry_after_ms=" << call.retry_after_ms
+            << " server_limit=" << call.notice.limit_per_s.value_or(-1)
+            << " server_leaving=" << call.notice.is_leaving;
 }
 
 void ServingProxy::AnswerNotRun(Call& call, std::string_view reason, int64_t retry_after_ms) {
@@ -259,6 +261,7 @@
 
 void ServingProxy::OnHead(Call& call, const AnswerHead& head) {
   call.server_status = head.status;
+  call.notice = ParseServerNotice(m_protocol, head.headers);
   if (IsRefusal(head)) {
     call.refusal = head.status == kHttpMisdirected ? kReasonWrongServer : kReasonServerFull;
     call.timer.Start(kRefusalBodyTimeout);
