Give no new work to a backend server that states its leave in an answer

Ruled out: the report of the server on the control port, which closes the gate as before.

Change: the node beside the server closes its gate, stores the server as draining and states it to entry nodes with each answer. Entry nodes send the statement back, so that a restarted node refuses also while the store is unreachable. A server that drains does not return to service in the same lifetime; a later 'ready' report or an older stored record no longer undoes it. A statement of a previous lifetime is ignored.

--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -13,6 +13,8 @@
 // Back-off after a refusal by a node that is stopping or has no server. A node that restarts, or
 // whose server restarts, may accept work again at any moment.
 constexpr int64_t kAbsentBackoffMs = 1'000;
+// What a node stated about its server is kept for this time after the node was last listed.
+constexpr int64_t kStatementRetentionUs = 60'000'000;
 
 // Back-off after a node refused a call for `reason`; 0: the time that the node asked for.
 int64_t BackoffMsFor(std::string_view reason) {
@@ -68,7 +70,7 @@
   for (const Endpoint& endpoint : endpoints->all()) {
     const Endpoint* before = m_endpoints->FindNode(endpoint.node);
     if (before != nullptr && before->incarnation != endpoint.incarnation) {
-      RemoveServer(endpoint.node);
+      m_tracker.RemoveServer(endpoint.node);
     }
     m_tracker.AddServer(endpoint.node, now_us);
     // Servers that get no calls must not count towards the limit that at most half of the servers
@@ -77,16 +79,21 @@
     if (IsLive(endpoint)) usable.push_back(endpoint.node);
   }
   for (const Endpoint& before : m_endpoints->all()) {
-    if (endpoints->FindNode(before.node) == nullptr) RemoveServer(before.node);
+    if (endpoints->FindNode(before.node) == nullptr) m_tracker.RemoveServer(before.node);
   }
   for (auto& [name, nodes] : by_service) SetServers(ServiceOf(name).outliers, nodes);
   m_endpoints = std::move(endpoints);
+  RemoveOldStatements(now_us);
   for (auto& [name, service] : m_services) SetReserve(service.retries, RetryReserve());
 }
 
-void ServerPicker::RemoveServer(const std::string& node) {
-  m_tracker.RemoveServer(node);
-  m_server_statements.erase(node);
+// A node may leave the list for a moment, when its entry has expired during an outage of the
+// platform, and still must be told of the leave of its server.
+void ServerPicker::RemoveOldStatements(int64_t now_us) {
+  std::erase_if(m_server_statements, [&](const auto& entry) {
+    bool is_listed = m_endpoints->FindNode(entry.first) != nullptr;
+    return !is_listed && now_us - entry.second.received_us > kStatementRetentionUs;
+  });
 }
 
 bool ServerPicker::HasLocal(std::string_view service) const {
@@ -151,7 +158,7 @@
   if (load) m_tracker.OnLoadReport(node, *load, now_us);
   // A node that states nothing may have restarted, so the earlier statement is kept for it.
   const std::string* statement = FindHeader(headers, kServerStatementHeader);
-  if (statement != nullptr) m_server_statements.insert_or_assign(std::string(node), *statement);
+  if (statement != nullptr) m_server_statements[std::string(node)] = {*statement, now_us};
   if (!HasOutcome(headers, kOutcomeNotRun)) return;
   if (int64_t backoff_ms = BackoffMsFor(HeaderValue(headers, kReasonHeader)); backoff_ms > 0) {
     m_tracker.OnRefusal(node, backoff_ms, now_us);
@@ -165,7 +172,7 @@
 
 std::string_view ServerPicker::ServerStatementOf(std::string_view node) const {
   auto it = m_server_statements.find(node);
-  return it == m_server_statements.end() ? std::string_view() : it->second;
+  return it == m_server_statements.end() ? std::string_view() : it->second.text;
 }
 
 void ServerPicker::OnAnswer(std::string_view service, std::string_view kind, std::string_view node,
--- a/src/server_picker.h
+++ b/src/server_picker.h
@@ -71,7 +71,7 @@
     HedgePolicy hedges;
   };
   Service& ServiceOf(std::string_view name);
-  void RemoveServer(const std::string& node);
+  void RemoveOldStatements(int64_t now_us);
   bool HasLocal(std::string_view service) const;
   double RetryReserve() const;
 
@@ -84,7 +84,11 @@
   std::shared_ptr<const EndpointList> m_endpoints;
   LoadTracker m_tracker;
   std::map<std::string, Service, std::less<>> m_services;
-  std::map<std::string, std::string, std::less<>> m_server_statements;  // By node.
+  struct Statement {
+    std::string text;
+    int64_t received_us = 0;
+  };
+  std::map<std::string, Statement, std::less<>> m_server_statements;  // By node.
 };
 
 }  // namespace guavatrail
--- a/src/server_registry.cc
+++ b/src/server_registry.cc
@@ -64,8 +64,11 @@
   if (m_current && m_current->report.lifetime == report.lifetime) {
     ServerReport& known = m_current->report;
     if (report.sequence <= known.sequence) return ReportOutcome::kStale;
-    bool is_changed = report.state != known.state || report.slots != known.slots;
-    known = report;
+    ServerReport next = report;
+    // The server may have stated its leave in an answer only.
+    if (next.state == ServerState::kReady) next.state = known.state;
+    bool is_changed = next.state != known.state || next.slots != known.slots;
+    known = next;
     m_current->reported_us = now_us;
     m_current->is_restored = false;
     return is_changed ? ReportOutcome::kChanged : ReportOutcome::kRefreshed;
@@ -100,6 +103,14 @@
   return is_changed ? ReportOutcome::kChanged : ReportOutcome::kRefreshed;
 }
 
+ReportOutcome ServerRegistry::OnLeaving(const ServerLifetime& lifetime) {
+  if (!m_current || m_current->report.lifetime != lifetime) return ReportOutcome::kStale;
+  ServerReport& known = m_current->report;
+  if (known.state != ServerState::kReady) return ReportOutcome::kRefreshed;
+  known.state = ServerState::kDraining;
+  return ReportOutcome::kChanged;
+}
+
 // Reports and leave messages may arrive before the stored report has been read. The stored report
 // must not override newer ones, and older ones among them must not override it.
 void ServerRegistry::Restore(const ServerReport& report, int64_t now_us) {
@@ -107,7 +118,10 @@
   bool has_left = m_left_ids.erase(restored.lifetime.id) > 0 || HasEnded(restored.lifetime);
   if (has_left) restored.state = ServerState::kLeft;
   if (restored.state == ServerState::kLeft) EndLifetime(restored.lifetime);
-  if (m_current && !Supersedes(restored, m_current->report)) return;
+  if (m_current && !Supersedes(restored, m_current->report)) {
+    if (restored.state == ServerState::kDraining) OnLeaving(restored.lifetime);
+    return;
+  }
   if (m_current && m_current->report.lifetime != restored.lifetime) {
     EndLifetime(m_current->report.lifetime);
   }
--- a/src/server_registry.h
+++ b/src/server_registry.h
@@ -48,6 +48,7 @@
 
 std::string_view ToString(ReportOutcome outcome);
 
+// A server that drains does not return to service in the same lifetime.
 class ServerRegistry {
  public:
   struct LocalServer {
@@ -64,6 +65,8 @@
   // Records that the server has left. Without a start time, this ends the lifetime of `id` that is
   // current, or if no server is known, the first one that reports.
   ReportOutcome OnLeave(std::string_view id, std::optional<int64_t> started_ms);
+  // Records that the server has stated in an answer that it is leaving.
+  ReportOutcome OnLeaving(const ServerLifetime& lifetime);
   // Restores the report that an earlier process of this node has stored.
   void Restore(const ServerReport& report, int64_t now_us);
   // Records that another server answers at the address, so that further reports of `lifetime` are
--- a/src/server_statement.cc
+++ b/src/server_statement.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::string_view kLeaving = "leaving=1;";
+
 // Removes the field `name` with its value, up to ";", from the start of `text`, and returns the
 // value; nullopt if the text begins otherwise.
 std::optional<std::string_view> TakeField(std::string_view& text, std::string_view name) {
@@ -34,6 +36,7 @@
   std::ostringstream out;
   out << "started=" << statement.server.started_ms << ';';
   if (statement.limit_per_s) out << "limit=" << std::fixed << *statement.limit_per_s << ';';
+  if (statement.is_leaving) out << kLeaving;
   out << "id=" << statement.server.id;
   return out.str();
 }
@@ -49,6 +52,10 @@
     statement.limit_per_s = ParseRateLimit(*limit);
     if (!statement.limit_per_s) return std::nullopt;
   }
+  if (text.starts_with(kLeaving)) {
+    statement.is_leaving = true;
+    text.remove_prefix(kLeaving.size());
+  }
   if (!text.starts_with(kId) || text.size() == kId.size()) return std::nullopt;
   statement.server.id = text.substr(kId.size());
   return statement;
--- a/src/server_statement.h
+++ b/src/server_statement.h
@@ -17,10 +17,12 @@
   ServerLifetime server;
   // Requests a second that the server takes from all nodes together; nullopt: not limited.
   std::optional<double> limit_per_s;
+  bool is_leaving = false;  // The server is about to stop and must get no new work.
   bool operator==(const ServerStatement&) const = default;
 };
 
-// The value of the X-Guavatrail-Server header, such as "started=1700000000000;limit=21.3;id=i-1".
+// The value of the X-Guavatrail-Server header, such as
+// "started=1700000000000;limit=21.3;leaving=1;id=i-1".
 std::string FormatServerStatement(const ServerStatement& statement);
 // nullopt if the text is not of that form.
 std::optional<ServerStatement> ParseServerStatement(std::string_view text);
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -34,6 +34,8 @@
     std::function<void(const std::string& server_id)> on_wrong_server;
     // The server cannot be connected to, or breaks off consecutive requests without an answer.
     std::function<void(const std::string& server_id)> on_unreachable;
+    // The server has stated that it is leaving. The gate must be closed for it.
+    std::function<void(const ServerLifetime& server)> on_leaving;
   };
 
   // `incarnation` identifies this run of the process. Orders with a key of another incarnation are
@@ -50,8 +52,8 @@
   // has been answered completely.
   void StartDrain(std::function<void()> idle);
 
-  // From now on sends new work to the backend server `server`. Initially the gate is open and
-  // requests carry no server id.
+  // From now on sends new work to the backend server `server`, unless it has stated that it is
+  // leaving. Initially the gate is open and requests carry no server id.
   void OpenGate(const ServerLifetime& server, int slots);
   // Refuses new work as not run. Running requests continue; queued ones may still start during
   // `queue_time` and are then refused.
@@ -101,6 +103,7 @@
   void OnServerNotice(Call& call, const AnswerHead& head);
   void OnServerStatement(const DownstreamRequest& request);
   void OnLimitChanged(std::string_view source);
+  void OnServerLeaving(std::string_view source);
   double LimitInForce() const;
   std::optional<std::string> ServerStatementText() const;
   void RefuseQueue();
@@ -126,8 +129,9 @@
   // Controls whether the backend server is sent new work.
   struct Gate {
     bool is_open = true;
-    ServerLifetime server;  // Current backend server; no id: requests carry no server id.
-    std::string reason;     // Reason why the gate is closed.
+    ServerLifetime server;    // Current backend server; no id: requests carry no server id.
+    std::string reason;       // Reason why the gate is closed.
+    bool is_leaving = false;  // The server has stated that it is leaving.
   };
 
   EventLoop& m_loop;
--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -17,6 +17,7 @@
 }  // namespace
 
 void ServingProxy::OpenGate(const ServerLifetime& server, int slots) {
+  if (m_gate.is_leaving && m_gate.server == server) return;
   bool is_new = !m_gate.is_open || m_gate.server != server;
   if (m_gate.server != server) {
     m_failures = FailureRate();
@@ -133,6 +134,7 @@
 void ServingProxy::OnServerNotice(Call& call, const AnswerHead& head) {
   call.notice = ParseServerNotice(m_protocol, head.headers);
   if (call.server != m_gate.server || head.status == kHttpMisdirected) return;
+  if (call.notice.is_leaving) OnServerLeaving("answer");
   ServerRateLimit* limit = RateLimitOf(m_admission);
   // A limit that cannot be read neither replaces nor ends the one in force.
   if (limit == nullptr || call.notice.has_invalid_limit) return;
@@ -146,6 +148,7 @@
   const std::string* text = FindHeader(request.headers(), kServerStatementHeader);
   auto statement = text == nullptr ? std::nullopt : ParseServerStatement(*text);
   if (!statement || statement->server != m_gate.server) return;
+  if (statement->is_leaving) OnServerLeaving("entry_node");
   ServerRateLimit* limit = RateLimitOf(m_admission);
   bool has_limit = limit != nullptr && statement->limit_per_s;
   if (has_limit && limit->OnReported(*statement->limit_per_s, EventLoop::NowUs())) {
@@ -153,6 +156,14 @@
   }
 }
 
+void ServingProxy::OnServerLeaving(std::string_view source) {
+  if (m_gate.is_leaving) return;
+  m_gate.is_leaving = true;
+  LOG(INFO) << "event=server_leaving server=" << m_gate.server.id << " source=" << source
+            << " gate_open=" << m_gate.is_open;
+  if (m_observer.on_leaving) m_observer.on_leaving(m_gate.server);
+}
+
 // Starts the queued requests whose turn has come under the new limit. Deferred, since a call may be
 // running one of its own callbacks.
 void ServingProxy::OnLimitChanged(std::string_view source) {
@@ -172,8 +183,10 @@
 // What entry nodes are to remember for this node; nullopt if there is nothing.
 std::optional<std::string> ServingProxy::ServerStatementText() const {
   const ServerRateLimit* limit = RateLimitOf(m_admission);
-  if (limit == nullptr || !limit->limit_per_s()) return std::nullopt;
-  return FormatServerStatement({.server = m_gate.server, .limit_per_s = limit->limit_per_s()});
+  std::optional<double> limit_per_s = limit == nullptr ? std::nullopt : limit->limit_per_s();
+  if (!limit_per_s && !m_gate.is_leaving) return std::nullopt;
+  return FormatServerStatement(
+      {.server = m_gate.server, .limit_per_s = limit_per_s, .is_leaving = m_gate.is_leaving});
 }
 
 }  // namespace guavatrail
--- a/test/error/server_statement_test.cc
+++ b/test/error/server_statement_test.cc
@@ -10,6 +10,8 @@
 TEST(ServerStatementTest, IsReadBackAsWritten) {
   ServerStatement limited{.server = {"i-7;limit=1;", 1'700'000'000'000}, .limit_per_s = 21.25};
   EXPECT_EQ(ParseServerStatement(FormatServerStatement(limited)), limited);
+  ServerStatement leaving{.server = {"i-9", 5}, .limit_per_s = 3, .is_leaving = true};
+  EXPECT_EQ(ParseServerStatement(FormatServerStatement(leaving)), leaving);
   ServerStatement unlimited{.server = {"i-8", -1}};
   EXPECT_EQ(ParseServerStatement(FormatServerStatement(unlimited)), unlimited);
 }
@@ -18,7 +20,8 @@
   for (const char* text :
        {"", "id=i-1", "started=;id=i-1", "started=1x;id=i-1", "started=1;id=", "started=1",
         "started=1;limit=;id=i-1", "started=1;limit=-2;id=i-1", "started=1;limit=nan;id=i-1",
-        "limit=2;started=1;id=i-1", "started=99999999999999999999;id=i-1"}) {
+        "limit=2;started=1;id=i-1", "started=1;leaving=0;id=i-1", "started=1;leaving=1;",
+        "started=99999999999999999999;id=i-1"}) {
     EXPECT_EQ(ParseServerStatement(text), std::nullopt) << text;
   }
 }
