Record an order that the server refused as not run

A caller that repeated or fenced a keyed order after the server had refused it was told that it was still running, for good. OnServerRefusal ended the call without telling the ledger.

--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -119,6 +119,7 @@
 void ServingProxy::OnServerRefusal(Call& call) {
   call.phase = Call::Phase::kEnded;
   call.timer.Cancel();
+  if (call.is_keyed()) m_orders.ledger().FinishNotRun(call.serial);
   AnswerNotRun(call, call.refusal, kDrainRetryAfterMs);
   Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
   ReportLoad();
--- a/test/correctness/serving_node_server_checks_test.cc
+++ b/test/correctness/serving_node_server_checks_test.cc
@@ -87,6 +87,21 @@
   EXPECT_EQ(m_proxy->load().in_service, 0);
 }
 
+// Guards against an order that counts as running for good, so that its caller is never told that it
+// has not run.
+TEST_F(ServingNodeServerChecks, OrderRefusedByTheServerHasNotRun) {
+  StartGuarded();
+  std::string key = IssueKey();
+  auto first = Send("POST", "/orders", Order(key) + "X-Id: 1\r\n", "one spring");
+  ASSERT_TRUE(WaitForRunning(1));
+  AnswerWith(MakeAnswer(503, "busy", "X-Refused: 1\r\n"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return first->HasCompleteAnswer(); }));
+  EXPECT_EQ(first->header("X-Guavatrail-Outcome"), "not-run");
+  auto fence = SendAndWait("POST", "/guavatrail/v1/fence", "Idempotency-Key: " + key + "\r\n");
+  EXPECT_EQ(fence->header("X-Guavatrail-Outcome"), "not-run");
+  EXPECT_EQ(m_server.requests(), 1);
+}
+
 TEST_F(ServingNodeServerChecks, ErrorOfTheServerIsRelayedUnchanged) {
   StartGuarded();
   auto client = Send("GET", "/a", Repeatable("1"));
