--- a/test/platform/store_sync_test.cc
+++ b/test/platform/store_sync_test.cc
@@ -64,6 +64,17 @@
   EXPECT_TRUE(RunUntil(m_loop, [&] { return !m_seen.contains("a"); }));
 }
 
+// Guards against the record of a node that has ended, which stays because its first write was in
+// flight when the node ended.
+TEST_F(StoreSync, RecordThatIsBeingCreatedIsRemoved) {
+  m_record_writer.SetDesired(RecordOf(1, true));
+  bool is_removed = false;
+  m_record_writer.Remove([&] { is_removed = true; });
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return is_removed; }));
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  EXPECT_EQ(Stored(), nullptr);
+}
+
 TEST_F(StoreSync, WatcherListsAgainAfterACompaction) {
   m_watcher.Start();
   ASSERT_TRUE(RunUntil(m_loop, [&] { return m_store.open_watches() == 1; }));
