--- a/apps/caller_load.cc
+++ b/apps/caller_load.cc
@@ -63,7 +63,6 @@
   size_t target = 0;
   size_t targets_tried = 1;
   bool has_headers = false;
-  bool was_sent_again = false;  // With the issued idempotency key.
   evhttp_connection* connection = nullptr;
   evhttp_request* request = nullptr;
   std::unique_ptr<Timer> timeout;
--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -58,22 +58,25 @@
   return address;
 }
 
-// Starts a non-blocking connect. Returns -1 and sets errno if it fails immediately.
-evutil_socket_t Connect(const ConnectionPool::Options& options) {
-  evutil_socket_t fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) return -1;
+// Binds and connects a non-blocking socket. Returns false and sets errno if it fails immediately.
+bool StartConnect(evutil_socket_t fd, const ConnectionPool::Options& options) {
   PrepareSocket(fd);
-  bool is_bound = true;
   if (!options.local_ip.empty()) {
     sockaddr_in local = AddressOf(options.local_ip, 0);
-    is_bound = bind(fd, reinterpret_cast<sockaddr*>(&local), sizeof(local)) == 0;
+    if (bind(fd, reinterpret_cast<sockaddr*>(&local), sizeof(local)) != 0) return false;
   }
   sockaddr_in remote = AddressOf(options.ip, options.port);
-  if (is_bound && (connect(fd, reinterpret_cast<sockaddr*>(&remote), sizeof(remote)) == 0 ||
-                   errno == EINPROGRESS)) {
-    return fd;
-  }
-  evutil_closesocket(fd);
+  return connect(fd, reinterpret_cast<sockaddr*>(&remote), sizeof(remote)) == 0 ||
+         errno == EINPROGRESS;
+}
+
+// Returns -1 and logs the error if connecting fails immediately.
+evutil_socket_t Connect(const ConnectionPool::Options& options) {
+  evutil_socket_t fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd >= 0 && StartConnect(fd, options)) return fd;
+  LOG_EVERY_N(WARNING, 100) << "event=connect_failed address=" << options.ip << ":" << options.port
+                            << " error=\"" << std::strerror(errno) << "\"";
+  if (fd >= 0) evutil_closesocket(fd);
   return -1;
 }
 
@@ -421,8 +424,6 @@
   exchange.m_last_activity_us = EventLoop::NowUs();
   if (connection.bev == nullptr) {
     connection.is_closed = true;
-    LOG_EVERY_N(WARNING, 100) << "event=connect_failed address=" << m_options.ip << ":"
-                              << m_options.port << " error=\"" << std::strerror(errno) << "\"";
     FinishExchange(connection, ExchangeResult::kNotSent);
     return;
   }
