--- a/src/server_rate_limit.h
+++ b/src/server_rate_limit.h
@@ -27,6 +27,8 @@
   // Queries.
   // Requests a second, as named; nullopt: there is no limit.
   std::optional<double> limit_per_s() const { return m_limit_per_s; }
+  // When the limit was last named; meaningful only with a limit.
+  int64_t named_us() const { return m_named_us; }
   bool CanSend(int64_t now_us) const { return WaitUs(0, now_us) == 0; }
   // Time until a request can be sent that has `ahead` requests before it; 0 without a limit.
   int64_t WaitUs(size_t ahead, int64_t now_us) const;
@@ -38,9 +40,9 @@
   double TokensAt(int64_t now_us) const;
 
   std::optional<double> m_limit_per_s;
-  double m_tokens = 0;               // At m_updated_us; negative after requests sent regardless.
-  int64_t m_updated_us = 0;          // Meaningful only with a limit.
-  int64_t m_named_us = 0;            // When the limit was last named.
+  double m_tokens = 0;       // At m_updated_us; negative after requests sent regardless.
+  int64_t m_updated_us = 0;  // Meaningful only with a limit.
+  int64_t m_named_us = 0;
   std::optional<int64_t> m_sent_us;  // When the last request was sent.
   bool m_has_answered = false;
 };
--- a/src/serving_call.h
+++ b/src/serving_call.h
@@ -17,6 +17,8 @@
 // Retry-After of a refusal for which admission predicts no wait, mostly because the node or its
 // server accepts no work.
 inline constexpr int64_t kDrainRetryAfterMs = 100;
+// Logged and reported in metrics where the backend server names no limit.
+inline constexpr double kNoLimit = -1;
 
 struct ServingProxy::Call {
   enum class Phase {
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -213,7 +213,8 @@
             << " left_ms=" << (call.deadline_us - now_us) / kUsPerMs
             << " in_service=" << load.in_service << " queued=" << load.queued
             << " retry_after_ms=" << call.retry_after_ms << " limit_in_force=" << LimitInForce()
-            << " server_limit=" << call.notice.limit_per_s.value_or(-1)
+            << " limit_age_ms=" << LimitAgeMs(now_us)
+            << " server_limit=" << call.notice.limit_per_s.value_or(kNoLimit)
             << " server_leaving=" << call.notice.is_leaving;
 }
 
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -104,7 +104,10 @@
   void OnServerStatement(const DownstreamRequest& request);
   void OnLimitChanged(std::string_view source);
   void OnServerLeaving(std::string_view source);
+  // Requests a second that the server takes; kNoLimit if it names no limit.
   double LimitInForce() const;
+  // Time since the limit was last named; 0 without a limit.
+  int64_t LimitAgeMs(int64_t now_us) const;
   std::optional<std::string> ServerStatementText() const;
   void RefuseQueue();
   void OnData(Call& call, evbuffer* data);
--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr int64_t kUsPerMs = 1000;
-// Logged and reported in metrics where the backend server names no limit.
-constexpr double kNoLimit = -1;
 
 }  // namespace
 
@@ -181,6 +179,12 @@
   return limit == nullptr ? kNoLimit : limit->limit_per_s().value_or(kNoLimit);
 }
 
+int64_t ServingProxy::LimitAgeMs(int64_t now_us) const {
+  const ServerRateLimit* limit = RateLimitOf(m_admission);
+  bool has_limit = limit != nullptr && limit->limit_per_s();
+  return has_limit ? (now_us - limit->named_us()) / kUsPerMs : 0;
+}
+
 // What entry nodes are to remember for this node; nullopt if there is nothing.
 std::optional<std::string> ServingProxy::ServerStatementText() const {
   const ServerRateLimit* limit = RateLimitOf(m_admission);
