Let the soak's servers name limits and state their leave

The soak could not see a server that gets more than it has named, or work after a leave that was stated in an answer only. Two faults and two checks; the checks have tests of their own.

--- a/test/soak/backend.py
+++ b/test/soak/backend.py
@@ -32,6 +32,10 @@
         self.mode, self.delay_s = "healthy", 0.01  # mode: healthy, full, truncated, garbled
         self.leave_acked_at = None  # Time at which the node acknowledged that the server leaves.
         self.late_arrivals = []  # Requests that arrived more than DRAIN_S after that.
+        self.limit_per_s = None  # Named in every answer; None: no limit.
+        self.states_leave = False  # Whether every answer states that the server leaves.
+        self.limits = []  # Spans in which a limit was named: [instance, start, end, limit_per_s].
+        self.arrivals = []  # All requests: (time, instance, request id).
 
     async def start(self):
         self.counter += 1
@@ -39,6 +43,7 @@
         self.instance = f"i-{self.ip}-{self.counter}-{self.random.getrandbits(32):08x}"
         self.born, self.sequence = int(time.time() * 1000), 0
         self.state, self.leave_acked_at, self.in_service = "ready", None, 0
+        self.states_leave = False
         self.server = await asyncio.start_server(self.serve, self.ip, self.port)
         self.heartbeat_task = asyncio.create_task(self.send_heartbeats())
 
@@ -65,7 +70,7 @@
 
     async def leave(self, announces_drain):
         """Stops the server as a release does: after it has announced that it leaves."""
-        self.state = "draining"
+        self.state, self.states_leave = "draining", True
         self.heartbeat_task.cancel()
         acknowledged = await self.report("PUT" if announces_drain else "DELETE")
         if acknowledged:
@@ -75,6 +80,21 @@
             await self.report("DELETE")
         await self.crash()
 
+    async def leave_without_report(self):
+        """Stops the server after it has stated its leave in answers only. It goes on reporting that
+        it is ready, as if its report of the leave were delayed."""
+        self.states_leave = True
+        await asyncio.sleep(DRAIN_S + 2.0)
+        await self.crash()
+
+    async def name_limit(self, per_s, seconds):
+        span = [self.instance, time.monotonic(), float("inf"), per_s]
+        self.limits.append(span)
+        self.limit_per_s = per_s
+        await asyncio.sleep(seconds)
+        self.limit_per_s = None
+        span[2] = time.monotonic()
+
     async def crash(self):
         if self.server is None:
             return
@@ -100,10 +120,15 @@
         """Answers a request. Returns whether the connection stays open."""
         request_id = message.headers.get("x-request-id", "")
         echo = [("X-Request-Id", request_id)]
+        if self.limit_per_s is not None:
+            echo.append(("Server-Limit", str(self.limit_per_s)))
+        if self.states_leave:
+            echo.append(("Server-Leaving", "1"))
         expected = message.headers.get("x-expect-instance", self.instance)
         if expected != self.instance:
-            await respond(writer, 421, echo)
+            await respond(writer, 421, [("X-Request-Id", request_id)])
             return True
+        self.arrivals.append((time.monotonic(), self.instance, request_id))
         if self.leave_acked_at is not None and time.monotonic() - self.leave_acked_at > DRAIN_S:
             self.late_arrivals.append((request_id, time.monotonic() - self.leave_acked_at))
         if self.mode == "full" or self.in_service >= 45:
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -7,6 +7,9 @@
 CONFIG_S = 2.0  # Time from the acknowledgement of a change until it must be in force.
 BACK_S = 0.25  # Calls sent this long after a call saw a version in force must see it too.
 LOST_SLACK_S = 0.2  # A call that no server ran may go unanswered if its connection closes so soon.
+DRAIN_S = 2.0  # A node may send work to a server for this time after it relayed its leave.
+LIMIT_WINDOW_S = 4.0  # Time in which the requests to a server with a limit are counted.
+LIMIT_KNOWN_S = 0.5  # Requests of a node count this long after it relayed an answer with a limit.
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -32,7 +35,7 @@
 
 def violations(mesh, calls, faults):
     found = [f"ENDED {end}: unexpected exit of a process" for end in mesh.unexpected_ends]
-    for check in (unasked, mixed, twice_and_refused, denied, config, lost, drain):
+    for check in (unasked, mixed, twice_and_refused, denied, config, lost, drain, leave, limit):
         found += check(mesh, calls, faults)
     return found
 
@@ -132,3 +135,50 @@
             if not faults.overlap(node.name, arrival - SETTLE_S, arrival):
                 yield (f"DRAIN {request_id}: new work {late_s:.2f} s after the acknowledgement of "
                        "the leave")
+
+
+def relayed(calls, header):
+    """When each lifetime of a node first relayed an answer of a server with `header`."""
+    first = {}  # (node, boot, instance) -> time.
+    for call in calls.values():
+        if call.end == "answer" and header in call.headers:
+            instance = call.headers.get("x-response-stamp", "").rpartition(".")[0]
+            key = (call.node.name, call.boot, instance)
+            first[key] = min(first.get(key, float("inf")), call.ended)
+    return first
+
+
+def leave(mesh, calls, faults):
+    relayed_at = relayed(calls, "server-leaving")
+    for node in mesh.nodes:
+        for arrival, instance, request_id in node.backend.arrivals:
+            call = calls.get(request_id)
+            if call is None:
+                continue
+            since = relayed_at.get((call.node.name, call.boot, instance), float("inf"))
+            if call.sent <= since + DRAIN_S or faults.overlap(call.node.name, since, arrival):
+                continue
+            yield (f"DRAIN {request_id}: sent {call.sent - since:.2f} s after {call.node.name} "
+                   f"relayed the leave of {instance}")
+
+
+def limit(mesh, calls, faults):
+    relayed_at = relayed(calls, "server-limit")
+    for node in mesh.nodes:
+        for instance, start, end, per_s in node.backend.limits:
+            counted = []  # Arrivals from nodes that know the limit.
+            for arrival, server, request_id in node.backend.arrivals:
+                call = calls.get(request_id)
+                if server != instance or call is None or not start + SETTLE_S <= arrival <= end:
+                    continue
+                since = relayed_at.get((call.node.name, call.boot, instance), float("inf"))
+                if arrival >= since + LIMIT_KNOWN_S and not faults.overlap(
+                        call.node.name, arrival - SETTLE_S, arrival):
+                    counted.append(arrival)
+            allowed = 1.5 * per_s * LIMIT_WINDOW_S + 5
+            counted.sort()
+            most = max((sum(1 for t in counted[i:] if t <= first + LIMIT_WINDOW_S)
+                        for i, first in enumerate(counted)), default=0)
+            if most > allowed:
+                yield (f"LIMIT {instance}: {most} requests in {LIMIT_WINDOW_S} s, allowed "
+                       f"{allowed:.1f} (limit {per_s} a second)")
--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -14,7 +14,7 @@
     """The records of a run with one node, one server, and calls that succeed by default."""
 
     def __init__(self):
-        backend = types.SimpleNamespace(late_arrivals=[])
+        backend = types.SimpleNamespace(late_arrivals=[], arrivals=[], limits=[])
         self.node = types.SimpleNamespace(name="node-1", service="front", backend=backend)
         self.mesh = types.SimpleNamespace(nodes=[self.node], runs={}, unexpected_ends=[],
                                           versions=[1, 2], acknowledged={1: 0.0, 2: 10.0})
@@ -73,6 +73,41 @@
         self.record.call("a", status=404, runs=0)
         self.expect("DENIED")
 
+    def arrive(self, name, sent, header=None):
+        """A call that reaches the server, and whose answer has `header` if one is named."""
+        call = self.record.call(name, sent=sent)
+        if header:
+            call.headers[header] = "1"
+        self.record.node.backend.arrivals.append((sent, "i-1", name))
+
+    def test_leave_stated_in_an_answer(self):
+        self.arrive("a", 20.0, "server-leaving")
+        self.arrive("b", 22.0)
+        self.expect()
+        self.arrive("c", 22.3)
+        self.expect("DRAIN")
+
+    def test_leave_is_forgotten_with_the_process(self):
+        self.arrive("a", 20.0, "server-leaving")
+        self.arrive("b", 23.0)
+        self.record.calls["b"].boot = 2
+        self.expect()
+
+    def test_limit_over_all_nodes(self):
+        self.record.node.backend.limits.append(["i-1", 10.0, 30.0, 2])
+        self.arrive("first", 10.0, "server-limit")
+        for i in range(17):
+            self.arrive(f"a{i}", 20.0 + 0.1 * i)
+        self.expect()
+        self.arrive("last", 23.9)
+        self.expect("LIMIT")
+
+    def test_limit_binds_only_nodes_that_relayed_it(self):
+        self.record.node.backend.limits.append(["i-1", 10.0, 30.0, 2])
+        for i in range(40):
+            self.arrive(f"a{i}", 20.0 + 0.1 * i)
+        self.expect()
+
     def test_config_late_and_backwards(self):
         self.record.call("a", target="/v2/1", sent=12.5, status=404, runs=0)
         self.record.call("b", target="/v1/1", sent=1.0)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -97,7 +97,8 @@
         faults = [self.kill, self.stop, self.pause, self.store_fault, self.store_forgets,
                   self.lapse, self.cut_store, self.cut_peer, self.break_connections, self.delay,
                   self.crash_server, self.release_server, self.server_fault, self.change_config,
-                  self.change_config, self.reload]
+                  self.change_config, self.reload, self.limit_server, self.limit_server,
+                  self.leave_in_answers]
         fault = self.random.choice(faults)
         node = self.random.choice(self.mesh.nodes)
         self.events.append((time.monotonic(), fault.__name__, node.name))
@@ -196,6 +197,22 @@
         await asyncio.sleep(self.random.uniform(0.1, 1.0))
         await node.backend.start()
 
+    async def limit_server(self, node):
+        """The server names a limit, at times a second and lower one, or 0."""
+        if node.backend.limit_per_s is not None:
+            return
+        for _ in range(self.random.choice([1, 2])):
+            per_s = self.random.choice([0, 0.5, 2, 6.5])
+            await node.backend.name_limit(per_s, self.random.uniform(3, 7))
+
+    async def leave_in_answers(self, node):
+        if node.backend.is_changing:
+            return
+        node.backend.is_changing = True
+        await node.backend.leave_without_report()
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        await node.backend.start()
+
     async def server_fault(self, node):
         node.backend.mode = self.random.choice(["full", "truncated", "garbled", "healthy"])
         node.backend.delay_s = self.random.choice([0.01, 0.3, 1.0])
