Let the end of a cut in the soak end that cut only

A cut or delay that ended healed all others too, so that overlapping link faults were shorter than drawn. 'heal A B' ends one direction; the self-test fails on the previous forwarder's heal, which ends all.

--- a/test/scenarios/forwarder.py
+++ b/test/scenarios/forwarder.py
@@ -9,7 +9,7 @@
                         `heal` does not restore these connections; later ones work.
     reset A B           Resets the open connections that carry bytes from A to B.
     delay A B SECONDS   Delays all bytes from A to B until `heal`.
-    heal                Ends all cuts and delays.
+    heal [A B]          Ends the cuts and delays from A to B, or all.
 
 The source of a connection is identified by its address, because a node binds its outgoing
 connections to its real IP.
@@ -81,8 +81,10 @@
         elif words[0] == "delay":
             self.delays[words[1], words[2]] = float(words[3])
         elif words[0] == "heal":
-            self.cuts.clear()
-            self.delays.clear()
+            healed = tuple(words[1:3])
+            self.cuts = {cut for cut in self.cuts if healed and cut[:2] != healed}
+            self.delays = {pair: delay for pair, delay in self.delays.items()
+                           if healed and pair != healed}
         async with self.changed:
             self.changed.notify_all()
 
--- a/test/scenarios/selftest.py
+++ b/test/scenarios/selftest.py
@@ -89,6 +89,26 @@
         out2.sendall(b"works")
         self.assertEqual(b"works", inner2.recv(10))
 
+    # Guards against the end of one fault that ends another one too.
+    def test_forwarder_heals_only_the_named_direction(self):
+        self.fleet.start_forwarder()
+        listener = socket.create_server((self.b.ip, PEER))
+        self.addCleanup(listener.close)
+        out = socket.create_connection((self.b.advertised, PEER), 5, (self.a.ip, 0))
+        inner, _ = listener.accept()
+        for end in (out, inner):
+            end.settimeout(0.3)
+            self.addCleanup(end.close)
+        self.fleet.forward(f"cut {self.a.name} {self.b.name}")
+        self.fleet.forward(f"cut {self.b.name} {self.a.name}")
+        self.fleet.forward(f"heal {self.a.name} {self.b.name}")
+        out.sendall(b"there")
+        self.assertEqual(b"there", inner.recv(10))
+        inner.sendall(b"back")
+        self.assertRaises(TimeoutError, out.recv, 10)
+        self.fleet.forward(f"heal {self.b.name} {self.a.name}")
+        self.assertEqual(b"back", out.recv(10))
+
     def test_platform_faults_are_set_by_the_steps(self):
         self.fleet.start_platform()
         self.scenario.step("platform down")
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -152,7 +152,7 @@
         spans = [self.faults.begin(part, "link") for part in parts]
         await self.mesh.forwarder.command(command)
         await asyncio.sleep(self.fault_duration())
-        await self.mesh.forwarder.command(["heal"])
+        await self.mesh.forwarder.command(["heal", *command[1:3]])
         for span in spans:
             self.faults.end(span)
 
