--- a/test/support/fake_store.cc
+++ b/test/support/fake_store.cc
@@ -28,6 +28,13 @@
 
 }  // namespace
 
+struct FakeStore::Copy {
+  uint64_t revision = 0;
+  uint64_t compacted_revision = 0;
+  std::map<std::string, std::map<std::string, Object>> kinds;
+  std::vector<Change> history;
+};
+
 FakeStore::FakeStore(EventLoop& loop)
     : m_loop(loop),
       m_listener(loop, [this](auto request) { OnRequest(std::move(request)); }),
@@ -36,7 +43,8 @@
 }
 
 void FakeStore::Reply(std::unique_ptr<DownstreamRequest> request, int status, const json& body) {
-  m_replies.Reply(std::move(request), status, {{"Content-Type", "application/json"}},
+  m_replies.Reply(std::move(request), status,
+                  {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(m_era)}},
                   body.is_null() ? "" : body.dump());
 }
 
@@ -160,7 +168,7 @@
 
 void FakeStore::OnWatch(std::unique_ptr<DownstreamRequest> request, const std::string& kind,
                         uint64_t revision, int64_t wait_ms) {
-  if (revision < m_compacted_revision) {
+  if (revision < m_compacted_revision || revision > m_revision) {
     Reply(std::move(request), 410, nullptr);
     return;
   }
@@ -199,6 +207,19 @@
   m_watches.clear();
 }
 
+std::shared_ptr<const FakeStore::Copy> FakeStore::TakeCopy() const {
+  return std::make_shared<const Copy>(Copy{m_revision, m_compacted_revision, m_kinds, m_history});
+}
+
+void FakeStore::Restore(const Copy& copy) {
+  m_revision = copy.revision;
+  m_compacted_revision = copy.compacted_revision;
+  m_kinds = copy.kinds;
+  m_history = copy.history;
+  ++m_era;
+  m_watches.clear();
+}
+
 void FakeStore::BlackholeWatches(const std::string& kind) {
   for (auto& watch : m_watches) {
     if (!kind.empty() && watch->kind != kind) continue;
--- a/test/support/fake_store.h
+++ b/test/support/fake_store.h
@@ -26,6 +26,9 @@
     kAnswerLost    // Applies writes without answering.
   };
 
+  // The state of the store at a moment.
+  struct Copy;
+
   explicit FakeStore(EventLoop& loop);
 
   uint16_t port() const { return m_listener.port(); }
@@ -41,6 +44,11 @@
   void Remove(const std::string& kind, const std::string& name);
   // Discards the history of changes and cuts off open watches.
   void Compact();
+  // The state to which Restore returns.
+  std::shared_ptr<const Copy> TakeCopy() const;
+  // Comes back from a copy: what was written since is lost, its revisions are given out again, and
+  // the era rises by one. Open watches are cut off.
+  void Restore(const Copy& copy);
   // Never answers the open watches of `kind` (empty: of all kinds), as on a connection whose
   // peer has become unreachable.
   void BlackholeWatches(const std::string& kind = "");
@@ -50,6 +58,7 @@
 
   const nlohmann::json* Find(const std::string& kind, const std::string& name) const;
   uint64_t revision() const { return m_revision; }
+  uint64_t era() const { return m_era; }
   int calls() const { return m_calls; }
   // Number of list requests for `kind`.
   int list_calls(const std::string& kind) const {
@@ -105,6 +114,7 @@
   HttpListener m_listener;
   PendingReplies m_replies;
   Mode m_mode = Mode::kHealthy;
+  uint64_t m_era = 1;
   uint64_t m_revision = 7;
   uint64_t m_compacted_revision = 0;  // Changes up to this revision were discarded.
   int m_calls = 0;
