Let a node that starts from the store ask other nodes for a newer configuration

What callers would see (RestartedNodeGetsTheNewerConfigOfTheOthers): a node that restarts while the store has an older copy, before the operator has written again, serves the older configuration, and so do nodes that start from it.

Cause: only followers took a newer configuration from another node; a watcher reads the store alone. A node that has read its first table from the store now asks three other nodes for a newer one, and a source requests the table of a follower that has a newer one. Versions only grow, so that a request without need is answered 304. The fixture gives a restarted node the port that it had, as on the platform.

--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -41,6 +41,9 @@
 // Pause before the next request when a source is busy sending whole tables and knows no other
 // holder.
 constexpr std::chrono::milliseconds kBusyPause{50};
+// Number of nodes that a node asks for a newer table when it has read its first one from the
+// platform.
+constexpr int kStartComparisons = 3;
 constexpr size_t kMaxTableBytes = 8'388'608;
 
 std::string Describe(const ConfigSource& source) {
@@ -72,11 +75,16 @@
   m_is_running = true;
   m_started_us = EventLoop::NowUs();
   m_source = CurrentSource();
-  m_callbacks.watch_platform(std::holds_alternative<FromPlatform>(m_source));
+  FollowPlatform(std::holds_alternative<FromPlatform>(m_source));
   m_timer.Start(std::holds_alternative<FromPlatform>(m_source) ? kRoleCheckInterval
                                                                : kRequestPause);
 }
 
+void ConfigRelay::FollowPlatform(bool on) {
+  if (on && version() == 0) m_comparisons_left = kStartComparisons;
+  m_callbacks.watch_platform(on);
+}
+
 ConfigSource ConfigRelay::CurrentSource() const {
   int64_t now_us = EventLoop::NowUs();
   bool is_late = now_us - m_started_us > kFirstTableWait.count() * kUsPerMs;
@@ -143,7 +151,7 @@
               << " era=" << m_callbacks.endpoint_revision().era
               << " age_ms=" << (now_us - m_platform_confirmed_us) / kUsPerMs;
     m_source = source;
-    m_callbacks.watch_platform(std::holds_alternative<FromPlatform>(source));
+    FollowPlatform(std::holds_alternative<FromPlatform>(source));
   }
   if (const auto* node = std::get_if<FromNode>(&m_source)) {
     std::string referred = std::exchange(m_referred_node, "");
@@ -152,7 +160,21 @@
   } else {
     m_referred_node.clear();
     m_timer.Start(m_policy.is_watcher() ? kRoleCheckInterval : kPlatformTrialTime);
+    CompareTable();
+  }
+}
+
+// After it has come back from an older copy, the platform may have an older configuration than the
+// nodes until the operator writes again. A node that has read its first table from the platform
+// therefore asks other nodes for a newer one.
+void ConfigRelay::CompareTable() {
+  if (m_comparisons_left == 0) return;
+  --m_comparisons_left;
+  std::vector<std::string_view> others;
+  for (const Endpoint& endpoint : m_endpoints->all()) {
+    if (endpoint.node != m_name && !endpoint.draining) others.push_back(endpoint.node);
   }
+  if (!others.empty()) SendRequest(std::string(others[m_random.Below(others.size())]), true);
 }
 
 void ConfigRelay::SendRequest(const std::string& node, bool is_referred) {
@@ -165,7 +187,7 @@
   m_request_counter.Add();
   UpstreamRequest request{.method = EVHTTP_REQ_GET, .uri = kConfigPath};
   // After losing its source, a node asks for an immediate answer: it may have missed a change.
-  bool needs_immediate_answer = m_has_lost_source || version() == 0;
+  bool needs_immediate_answer = m_has_lost_source || version() == 0 || is_referred;
   std::chrono::milliseconds wait =
       needs_immediate_answer ? std::chrono::milliseconds(0) : kLongPollWait;
   request.headers = {{kVersionHeader, std::to_string(version())},
--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -26,7 +26,8 @@
 // A follower asks its source for a configuration newer than its own. The source answers as soon as
 // it has one, or after a short wait (long polling), and states how long ago the platform confirmed
 // its configuration. Request and answer also carry the endpoint revision that each side knows; see
-// endpoint_relay.h. A source that is already sending whole tables refers the follower to another
+// endpoint_relay.h. A source that has an older configuration than a follower requests that of the
+// follower. A source that is already sending whole tables refers the follower to another
 // node that holds the table; see table_referrals.h.
 class ConfigRelay {
  public:
@@ -76,8 +77,9 @@
   // A request to another node that may still be answered.
   struct PendingRequest {
     std::string node;
-    uint64_t known = 0;        // Own version in the request; a change in the answer starts from it.
-    bool is_referred = false;  // The source referred this node to it.
+    uint64_t known = 0;  // Own version in the request; a change in the answer starts from it.
+    // The node is not the source of this node, but known to have a table that this node lacks.
+    bool is_referred = false;
     std::unique_ptr<HttpQuery> query;
   };
   // A request of another node that waits for a change.
@@ -87,7 +89,9 @@
     std::unique_ptr<Timer> timer;
   };
 
+  void FollowPlatform(bool on);
   void PollSource();
+  void CompareTable();
   ConfigSource CurrentSource() const;
   bool IsPlatformSilent() const;
   bool HasUpdateFor(const RequesterState& known) const;
@@ -99,6 +103,7 @@
   void RecordSourceFailure(const PendingRequest& pending);
   void SendAnswer(std::unique_ptr<DownstreamRequest> request, const RequesterState& known);
   void RecordTableHolder(std::string_view node);
+  void RequestNewerTable(std::string_view requester);
   void SendTableOrReferral(std::unique_ptr<DownstreamRequest> request, HeaderList headers);
   void EnsureEncoded();
   const std::string* EncodedChangeFrom(uint64_t known);
@@ -126,6 +131,7 @@
   std::deque<PreviousTable> m_previous_tables;
   int64_t m_platform_confirmed_us = 0;
   bool m_is_running = false;
+  int m_comparisons_left = 0;  // See CompareTable.
   ConfigSource m_source = FromPlatform{};
   std::map<uint64_t, PendingRequest> m_pending_requests;
   uint64_t m_next_request = 1;
--- a/src/config_relay_answers.cc
+++ b/src/config_relay_answers.cc
@@ -1,4 +1,6 @@
 // Server side of ConfigRelay: answers the requests of other nodes.
+#include <glog/logging.h>
+
 #include <algorithm>
 
 #include "config_codec.h"
@@ -30,6 +32,7 @@
       RevisionIn(request->headers(), kEndpointsHeaders, m_callbacks.endpoint_revision())};
   std::string_view requester = HeaderValue(request->headers(), kRequesterHeader);
   if (m_table != nullptr && known.version == version()) RecordTableHolder(requester);
+  if (known.version > version()) RequestNewerTable(requester);
   if (HasUpdateFor(known)) {
     SendAnswer(std::move(request), known);
     return;
@@ -51,6 +54,16 @@
   long_poll.timer->Start(has_wait ? std::min(wait, kLongPollWait) : kLongPollWait);
 }
 
+// This node has started with an older table: the platform has come back from an older copy, and the
+// operator has not written to it again. The long poll of the requester is answered later, by when
+// this node may have its table.
+void ConfigRelay::RequestNewerTable(std::string_view requester) {
+  bool can_request = m_is_running && m_current_request == 0;
+  if (!can_request || m_endpoints->FindNode(requester) == nullptr) return;
+  LOG(INFO) << "event=config_newer_at_follower follower=" << requester << " version=" << version();
+  SendRequest(std::string(requester), true);
+}
+
 // The wait and the connection may both end in one iteration of the loop, each in a callback of an
 // object that is to be removed. The removal is therefore deferred; a second removal has no effect.
 void ConfigRelay::RemoveLongPoll(uint64_t number) {
--- a/test/support/mesh_fixture.h
+++ b/test/support/mesh_fixture.h
@@ -49,6 +49,8 @@
     settings.node = {"node-" + std::to_string(m_vms.size()), service, "norte", "braga"};
     settings.listen.ip = "127.0.0.1";
     settings.listen.caller_port = FreeFixedPort();
+    // A restarted node has the same port.
+    settings.listen.peer_port = FreeFixedPort();
     settings.listen.control_port = FreeFixedPort();
     settings.listen.ready_port = FreeFixedPort();
     settings.listen.admin_port = FreeFixedPort();
