Let the store of the soak return from older copies, and check that nodes settle

The soak's store keeps copies, comes back from one and gives out its revisions again; the operator writes its configuration again and may change it at once. At the end of a run each node must have the latest version, know all nodes, and have a record of its server.

--- a/test/soak/mesh.py
+++ b/test/soak/mesh.py
@@ -1,6 +1,7 @@
 """The parts of a soak: nodes as real processes, stand-ins for the store and servers, and links."""
 import asyncio
 import contextlib
+import json
 import pathlib
 import random
 import signal
@@ -9,6 +10,7 @@
 
 from backend import Backend
 from store import Store
+from wire import read_message, send_request
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "test" / "scenarios"))
@@ -46,6 +48,16 @@
         self.boot = 0  # Number of starts of the process.
         self.end_requested_at = None  # Time of the signal that ends the process.
 
+    async def query_admin(self, path):
+        """Returns the JSON document at `path` of the node's admin port."""
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(self.ip, ADMIN), 1)
+        try:
+            await send_request(writer, "GET", path, self.name)
+            answer = await asyncio.wait_for(read_message(reader), 1)
+        finally:
+            writer.close()
+        return json.loads(answer.body)
+
 
 class Mesh:
     def __init__(self, build, directory, net, seed):
@@ -71,6 +83,7 @@
             self.listeners.append(
                 await asyncio.start_server(self.acceptor(name, ip, port), advertised, port))
         await self.change_config()
+        self.tasks.append(asyncio.create_task(self.store.keep_copies()))
         for number, node in enumerate(self.nodes):
             node.backend = Backend(node.service, node.server_ip, SERVER, (node.ip, CONTROL),
                                    self.runs, self.random.getrandbits(32) + number)
@@ -89,6 +102,10 @@
         await self.store.put("config", "main", config_of(self.versions))
         self.acknowledged[self.versions[-1]] = time.monotonic()
 
+    async def write_config_again(self):
+        """Writes the latest configuration again, as the operator does after it was lost."""
+        await self.store.put("config", "main", config_of(self.versions))
+
     async def start_node(self, node):
         path = self.dir / f"{node.name}.toml"
         path.write_text(f"""
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -22,6 +22,7 @@
 
 RECOVER_S = 15.0  # Time after the last fault within which calls must succeed again.
 RECOVERED_SHARE = 0.9  # Share of calls that must succeed then.
+SETTLED_S = 6.0  # Time after that within which all nodes must agree with the store.
 CALLERS_PER_NODE = 2
 MAX_LAG_S = 0.15  # Time bounds are not checked while the event loop lags by more than this.
 
@@ -69,6 +70,7 @@
             await asyncio.sleep(self.random.uniform(0.1, 1.6))
         await asyncio.gather(*fault_tasks)
         found = await self.wait_until_recovered()
+        found += await self.wait_until_settled()
         self.mesh.is_over = True
         for task in self.tasks:
             task.cancel()
@@ -91,6 +93,34 @@
         return [f"RECOVER: {share:.2f} of the calls served {RECOVER_S} s after the last fault, "
                 f"expected {RECOVERED_SHARE}"]
 
+    async def wait_until_settled(self):
+        begin = time.monotonic()
+        while found := [line for node in self.mesh.nodes async for line in self.unsettled(node)]:
+            if time.monotonic() - begin > SETTLED_S:
+                break
+            await asyncio.sleep(0.5)
+        return found
+
+    async def unsettled(self, node):
+        """What keeps a node from agreeing with the operator, the store and its server."""
+        try:
+            status = await node.query_admin("/v1/status")
+            members = await node.query_admin("/v1/members")
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
+            yield f"SETTLED {node.name}: no answer from its admin port ({error!r})"
+            return
+        version = self.mesh.versions[-1]
+        if status["version"] != version:
+            yield f"SETTLED {node.name}: version {status['version']}, expected {version}"
+        missing = {n.name for n in self.mesh.nodes} - {m["name"] for m in members}
+        if missing:
+            yield f"SETTLED {node.name}: does not know {', '.join(sorted(missing))}"
+        record = self.mesh.store.objects.get(("guavatrail-endpoints", node.name))
+        server = record["spec"]["server"] if record else {}
+        stored = (server.get("id"), server.get("state"))
+        if stored != (node.backend.instance, "ready"):
+            yield f"SETTLED {node.name}: its record names {stored}, expected {node.backend.instance}"
+
     # Faults
 
     async def inject_fault(self):
@@ -98,7 +128,7 @@
                   self.lapse, self.cut_store, self.cut_peer, self.break_connections, self.delay,
                   self.crash_server, self.release_server, self.server_fault, self.change_config,
                   self.change_config, self.reload, self.limit_server, self.limit_server,
-                  self.leave_in_answers]
+                  self.leave_in_answers, self.store_returns, self.store_returns]
         fault = self.random.choice(faults)
         node = self.random.choice(self.mesh.nodes)
         self.events.append((time.monotonic(), fault.__name__, node.name))
@@ -140,6 +170,22 @@
     async def store_forgets(self, _):
         self.mesh.store.discard_history()
 
+    async def store_returns(self, _):
+        """The store is away for a moment and comes back from a copy some seconds old. The operator
+        writes its configuration again, and may change it at once."""
+        span = self.faults.begin("all", "store")
+        store = self.mesh.store
+        store.mode = self.random.choice(["unavailable", "no_answer"])
+        await asyncio.sleep(self.random.uniform(0.1, 2.0))
+        if store.copies:  # Empty just after another return.
+            await store.restore(self.random.choice(store.copies))
+        store.mode = "healthy"
+        await asyncio.sleep(self.random.choice([0, 0.3]))
+        await self.mesh.write_config_again()
+        if self.random.random() < 0.6:
+            await self.mesh.change_config()
+        self.faults.end(span)
+
     async def lapse(self, node):
         """Removes the node's record from the store."""
         span = self.faults.begin("all", "lapse")
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -1,11 +1,18 @@
 """A stand-in for the users' metadata store that injects faults."""
 import asyncio
+import collections
 import json
+import time
 import urllib.parse
 
 from wire import read_message, respond
 
 HISTORY = 4096  # Number of changes that the store keeps for watches.
+COPIES = 8  # Number of copies that the store keeps for a return.
+COPY_INTERVAL_S = 1.0
+
+# The state of the store at a time.
+Copy = collections.namedtuple("Copy", "time objects revision history first_kept")
 
 
 class Store:
@@ -17,6 +24,8 @@
         self.revision = 1
         self.history = []  # (revision, kind, event)
         self.first_kept = 1  # Watches from an earlier revision get 410.
+        self.era = 1  # Rises when the store comes back from a copy.
+        self.copies = collections.deque(maxlen=COPIES)
         self.changed = asyncio.Condition()
         # healthy, unavailable (503), rate_limited (429), no_answer, answer_lost or slow.
         self.mode = "healthy"
@@ -30,14 +39,16 @@
                 if self.mode == "no_answer":
                     await asyncio.sleep(3600)
                 if self.mode in ("unavailable", "rate_limited"):
-                    await respond(writer, 503 if self.mode == "unavailable" else 429)
+                    await respond(writer, 503 if self.mode == "unavailable" else 429,
+                                  [("Store-Era", str(self.era))])
                     continue
                 if self.mode == "slow":
                     await asyncio.sleep(0.3)
                 status, body = await self.handle(message)
                 if self.mode == "answer_lost" and message.method != "GET":
                     await asyncio.sleep(3600)
-                await respond(writer, status, [("Content-Type", "application/json")],
+                await respond(writer, status, [("Content-Type", "application/json"),
+                                               ("Store-Era", str(self.era))],
                               json.dumps(body).encode())
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
@@ -73,16 +84,20 @@
         return 200, known
 
     async def watch(self, kind, since, wait_s):
-        if since < self.first_kept:
+        if since < self.first_kept or since > self.revision:
             return 410, {}
+        era = self.era
 
         def events():
             return [e for revision, k, e in self.history if k == kind and revision > since]
         async with self.changed:
             try:
-                await asyncio.wait_for(self.changed.wait_for(events), wait_s)
+                await asyncio.wait_for(
+                    self.changed.wait_for(lambda: events() or self.era != era), wait_s)
             except asyncio.TimeoutError:
                 pass
+        if self.era != era:
+            raise ConnectionResetError("the store has come back from a copy")
         return 200, {"events": events(), "current-rev": self.revision}
 
     async def put(self, kind, name, spec):
@@ -105,6 +120,21 @@
         async with self.changed:
             self.changed.notify_all()
 
+    async def keep_copies(self):
+        while True:
+            self.copies.append(Copy(time.monotonic(), dict(self.objects), self.revision,
+                                    list(self.history), self.first_kept))
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def restore(self, copy):
+        """Comes back from a copy: later writes are lost and their revisions are given out again."""
+        self.objects, self.revision = dict(copy.objects), copy.revision
+        self.history, self.first_kept = list(copy.history), copy.first_kept
+        self.era += 1
+        self.copies.clear()
+        async with self.changed:
+            self.changed.notify_all()
+
     def discard_history(self):
         self.history.clear()
         self.first_kept = self.revision
