--- a/test/platform/mesh_node_test.cc
+++ b/test/platform/mesh_node_test.cc
@@ -457,6 +457,19 @@
   EXPECT_TRUE(m_serving->requests.empty());
 }
 
+// Guards against a node that no other node can find because something else has written its record.
+TEST_F(MeshNodeTest, UnreadableRecordIsWrittenAgain) {
+  PutConfig(1, "catalogo");
+  Vm& vm = AddVm("catalogo");
+  ASSERT_EQ(SendHeartbeat(vm, "i-1"), 200);
+  ASSERT_TRUE(CallUntil(vm, "/parts/1", 200));
+  m_store.Put("guavatrail-endpoints", vm.settings.node.name, {{"service", 7}});
+  EXPECT_TRUE(RunUntil(m_loop, [&] {
+    const auto* record = m_store.Find("guavatrail-endpoints", vm.settings.node.name);
+    return record != nullptr && record->contains("server");
+  }));
+}
+
 TEST_F(MeshNodeTest, RemovedRecordIsWrittenAgain) {
   StartPair();
   m_store.Remove(platform::kEndpointKind, "node-2");
