Ignore late reports about a server reinstated for lack of others

What callers saw: a server that is in use again, because others have gone, may be ejected at once by a report that its node measured before.

Cause: SetServers reinstated with a new state and so without the pause in which reports are ignored. It now reinstates as after good probes. The new test failed before.

--- a/src/outlier_detector.cc
+++ b/src/outlier_detector.cc
@@ -42,7 +42,7 @@
 
 }  // namespace
 
-void OutlierDetector::SetServers(std::span<const std::string_view> nodes) {
+void OutlierDetector::SetServers(std::span<const std::string_view> nodes, int64_t now_us) {
   std::erase_if(m_servers, [&](const auto& entry) {
     bool gone = std::find(nodes.begin(), nodes.end(), entry.first) == nodes.end();
     if (gone && entry.second.ejected) --m_ejected_count;
@@ -57,8 +57,7 @@
       if (!server.ejected) continue;
       if (first == nullptr || server.ejected_until_us < first->ejected_until_us) first = &server;
     }
-    *first = Server{};
-    --m_ejected_count;
+    Reinstate(*first, now_us);
   }
 }
 
@@ -199,8 +198,8 @@
   return is_probe_due ? EjectionState::kProbeDue : EjectionState::kEjected;
 }
 
-void SetServers(OutlierPolicy& policy, std::span<const std::string_view> nodes) {
-  std::visit([&](auto& p) { p.SetServers(nodes); }, policy);
+void SetServers(OutlierPolicy& policy, std::span<const std::string_view> nodes, int64_t now_us) {
+  std::visit([&](auto& p) { p.SetServers(nodes, now_us); }, policy);
 }
 
 void OnAnswer(OutlierPolicy& policy, const ServerAnswer& answer, int64_t now_us) {
--- a/src/outlier_detector.h
+++ b/src/outlier_detector.h
@@ -52,7 +52,7 @@
   OutlierDetector() : OutlierDetector(Options{}) {}
   explicit OutlierDetector(Options options) : m_options(options) {}
 
-  void SetServers(std::span<const std::string_view> nodes);
+  void SetServers(std::span<const std::string_view> nodes, int64_t now_us);
   void OnAnswer(const ServerAnswer& answer, int64_t now_us);
   void OnFailure(std::string_view node, int64_t now_us);
   void OnProbeSent(std::string_view node, int64_t now_us);
@@ -110,7 +110,7 @@
 // For comparisons: every server is always in use.
 class NoOutlierDetection {
  public:
-  void SetServers(std::span<const std::string_view> /*nodes*/) {}
+  void SetServers(std::span<const std::string_view> /*nodes*/, int64_t /*now_us*/) {}
   void OnAnswer(const ServerAnswer& /*answer*/, int64_t /*now_us*/) {}
   void OnFailure(std::string_view /*node*/, int64_t /*now_us*/) {}
   void OnProbeSent(std::string_view /*node*/, int64_t /*now_us*/) {}
@@ -122,7 +122,7 @@
 using OutlierPolicy = std::variant<OutlierDetector, NoOutlierDetection>;
 
 // Sets the servers of the service that may get calls; the state of all others is dropped.
-void SetServers(OutlierPolicy& policy, std::span<const std::string_view> nodes);
+void SetServers(OutlierPolicy& policy, std::span<const std::string_view> nodes, int64_t now_us);
 // Records a complete answer. An unknown node is ignored.
 void OnAnswer(OutlierPolicy& policy, const ServerAnswer& answer, int64_t now_us);
 // Records a call without a complete answer in time. Refusals and cancelled calls are not
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -81,7 +81,7 @@
   for (const Endpoint& before : m_endpoints->all()) {
     if (endpoints->FindNode(before.node) == nullptr) m_tracker.RemoveServer(before.node);
   }
-  for (auto& [name, nodes] : by_service) SetServers(ServiceOf(name).outliers, nodes);
+  for (auto& [name, nodes] : by_service) SetServers(ServiceOf(name).outliers, nodes, now_us);
   m_endpoints = std::move(endpoints);
   RemoveOldStatements(now_us);
   for (auto& [name, service] : m_services) SetReserve(service.retries, RetryReserve());
--- a/test/correctness/outlier_detector_test.cc
+++ b/test/correctness/outlier_detector_test.cc
@@ -14,7 +14,7 @@
  protected:
   void SetUpServers(std::vector<std::string_view> nodes) {
     m_nodes = std::move(nodes);
-    SetServers(m_policy, m_nodes);
+    SetServers(m_policy, m_nodes, m_now_us);
   }
   // Records `rounds` answers of every active server, 20 ms apart; the servers named in `slow` take
   // 10 times as long.
@@ -88,10 +88,10 @@
   Answer(50, "abc");
   EXPECT_EQ(EjectedCount(), 2U);
   std::vector<std::string_view> fewer = {"a", "b"};
-  SetServers(m_policy, fewer);
+  SetServers(m_policy, fewer, m_now_us);
   EXPECT_EQ(EjectedCount(), 1U);
   std::vector<std::string_view> one = {"a"};
-  SetServers(m_policy, one);
+  SetServers(m_policy, one, m_now_us);
   EXPECT_EQ(EjectedCount(), 0U);
 }
 
@@ -183,5 +183,25 @@
   EXPECT_EQ(StateOf("b"), EjectionState::kProbeDue);
 }
 
+// Guards against a server that is ejected again by the late report of its node right after it was
+// reinstated because other servers have gone.
+TEST_F(OutlierDetectorTest, LateReportDoesNotEjectAServerReinstatedForLackOfOthers) {
+  SetUpServers({"a", "b", "c", "d"});
+  Answer(50, "");
+  Answer(20, "cd");
+  ASSERT_EQ(EjectedCount(), 2U);
+  std::vector<std::string_view> fewer = {"a", "c", "d"};
+  SetServers(m_policy, fewer, m_now_us);
+  ASSERT_EQ(EjectedCount(), 1U);
+  std::string_view reinstated = StateOf("c") == EjectionState::kActive ? "c" : "d";
+  OnAnswer(m_policy, {"a", "lookup", 5 * kMs, 5 * kMs}, m_now_us);
+  OnAnswer(m_policy, {"b", "lookup", 5 * kMs, 5 * kMs}, m_now_us);
+  std::vector<std::string_view> more = {"a", "b", "c", "d"};
+  SetServers(m_policy, more, m_now_us);
+  OnAnswer(m_policy, {"b", "lookup", 5 * kMs, 5 * kMs}, m_now_us);
+  OnAnswer(m_policy, {reinstated, "lookup", 5 * kMs, 50 * kMs}, m_now_us);
+  EXPECT_EQ(StateOf(reinstated), EjectionState::kActive);
+}
+
 }  // namespace
 }  // namespace guavatrail
--- a/test/performance/decisions_are_fast_test.cc
+++ b/test/performance/decisions_are_fast_test.cc
@@ -79,7 +79,7 @@
   std::vector<std::string> names = ServerNames();
   std::vector<std::string_view> views(names.begin(), names.end());
   OutlierPolicy policy;
-  SetServers(policy, views);
+  SetServers(policy, views, 0);
   Measure("outlier_answer", 200'000, [&](int i) {
     const auto& name = names[static_cast<size_t>(i) % names.size()];
     OnAnswer(policy, {name, "lookup", 5'000 + i % 7, 5'000}, i * int64_t{100});
--- a/test/support/call_model.cc
+++ b/test/support/call_model.cc
@@ -40,7 +40,7 @@
     std::vector<std::string_view> names(m_names.begin(), m_names.end());
     for (size_t i = 0; i < options.entries; ++i) {
       m_entries.push_back({options.placement(), options.outliers(), options.retries(), {}});
-      SetServers(m_entries.back().outliers, names);
+      SetServers(m_entries.back().outliers, names, 0);
     }
   }
 
