Log and show the end of a limit when another server takes the place

What operators saw: the gauge server_limit_per_s kept the limit of a former run of the server, and no event=server_limit said that it had ended.

Cause: OpenGate reset the limit without OnLimitChanged. The new test failed before. Both admission policies now have a rate limit, so that six checks for null are gone, and the two refusals of a call share EndNotRun: their two copies were how a call to the ledger was once forgotten.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -394,14 +394,12 @@
   return std::visit([](const auto& p) { return p.load(); }, policy);
 }
 
-ServerRateLimit* RateLimitOf(AdmissionPolicy& policy) {
-  auto* slots = std::get_if<SlotAdmission>(&policy);
-  return slots == nullptr ? nullptr : &slots->rate_limit();
+ServerRateLimit& RateLimitOf(AdmissionPolicy& policy) {
+  return std::visit([](auto& p) -> ServerRateLimit& { return p.rate_limit(); }, policy);
 }
 
-const ServerRateLimit* RateLimitOf(const AdmissionPolicy& policy) {
-  const auto* slots = std::get_if<SlotAdmission>(&policy);
-  return slots == nullptr ? nullptr : &slots->rate_limit();
+const ServerRateLimit& RateLimitOf(const AdmissionPolicy& policy) {
+  return std::visit([](const auto& p) -> const ServerRateLimit& { return p.rate_limit(); }, policy);
 }
 
 }  // namespace guavatrail
--- a/src/admission.h
+++ b/src/admission.h
@@ -167,7 +167,7 @@
 };
 
 // Baseline for comparisons: first in, first out, with an unbounded queue, without regard to
-// deadlines, work kinds or limits of the backend server.
+// deadlines, work kinds or limits of the backend server, which are only recorded.
 class UnlimitedAdmission {
  public:
   struct Options {
@@ -182,12 +182,15 @@
   AdmissionChanges Cancel(uint64_t id, int64_t now_us);
   AdmissionChanges Expire(int64_t now_us);
   AdmissionLoad load() const;
+  ServerRateLimit& rate_limit() { return m_rate_limit; }
+  const ServerRateLimit& rate_limit() const { return m_rate_limit; }
 
  private:
   AdmissionChanges StartQueued();
 
   Options m_options;
   ServiceTimeEstimate m_estimate;
+  ServerRateLimit m_rate_limit;
   std::unordered_map<uint64_t, bool> m_running;
   std::deque<uint64_t> m_queue;
 };
@@ -213,8 +216,8 @@
 
 AdmissionLoad LoadOf(const AdmissionPolicy& policy);
 
-// The rate limit of the backend server; null if the policy keeps none.
-ServerRateLimit* RateLimitOf(AdmissionPolicy& policy);
-const ServerRateLimit* RateLimitOf(const AdmissionPolicy& policy);
+// The rate limit of the backend server.
+ServerRateLimit& RateLimitOf(AdmissionPolicy& policy);
+const ServerRateLimit& RateLimitOf(const AdmissionPolicy& policy);
 
 }  // namespace guavatrail
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -191,11 +191,16 @@
 
 // Refuses a call of which no byte has been sent to the server.
 void ServingProxy::Refuse(Call& call, int64_t retry_after_ms, std::string_view reason) {
+  EndNotRun(call, retry_after_ms, reason);
+  RemoveIfEnded(call);
+}
+
+// Ends a call that has not run, with a refusal.
+void ServingProxy::EndNotRun(Call& call, int64_t retry_after_ms, std::string_view reason) {
   call.phase = Call::Phase::kEnded;
   call.timer.Cancel();
   if (call.is_keyed()) m_orders.ledger().FinishNotRun(call.serial);
   AnswerNotRun(call, reason, retry_after_ms);
-  RemoveIfEnded(call);
 }
 
 void ServingProxy::LogEnd(const Call& call, std::string_view outcome,
@@ -342,8 +347,7 @@
       call.is_attached()) {
     // The server may have closed an idle connection at the moment the request was written.
     call.is_retry = true;
-    ServerRateLimit* limit = RateLimitOf(m_admission);
-    if (call.may_have_been_sent && limit != nullptr) limit->OnSent(EventLoop::NowUs());
+    if (call.may_have_been_sent) RateLimitOf(m_admission).OnSent(EventLoop::NowUs());
     Send(call, std::chrono::milliseconds(0));
     return;
   }
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -96,12 +96,14 @@
   void Run(Call& call);
   void Send(Call& call, std::chrono::milliseconds max_idle);
   void Refuse(Call& call, int64_t retry_after_ms, std::string_view reason);
+  void EndNotRun(Call& call, int64_t retry_after_ms, std::string_view reason);
   void OnHead(Call& call, const AnswerHead& head);
   bool IsRefusal(const AnswerHead& head) const;
   HeaderList ServerHeaders(const Call& call) const;
   void OnServerRefusal(Call& call);
   void OnServerNotice(Call& call, const AnswerHead& head);
   void OnServerStatement(const DownstreamRequest& request);
+  void EndLimit();
   void OnLimitChanged(std::string_view source);
   void OnServerLeaving(std::string_view source);
   // Requests a second that the server takes; kNoLimit if it names no limit.
--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -19,7 +19,7 @@
   bool is_new = !m_gate.is_open || m_gate.server != server;
   if (m_gate.server != server) {
     m_failures = FailureRate();
-    if (ServerRateLimit* limit = RateLimitOf(m_admission)) limit->Reset();
+    EndLimit();
   }
   m_gate = {true, server, ""};
   m_gate_timer.Cancel();
@@ -115,10 +115,7 @@
 }
 
 void ServingProxy::OnServerRefusal(Call& call) {
-  call.phase = Call::Phase::kEnded;
-  call.timer.Cancel();
-  if (call.is_keyed()) m_orders.ledger().FinishNotRun(call.serial);
-  AnswerNotRun(call, call.refusal, kDrainRetryAfterMs);
+  EndNotRun(call, kDrainRetryAfterMs, call.refusal);
   Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
   ReportLoad();
   if (call.refusal == kReasonWrongServer && call.server == m_gate.server) {
@@ -134,10 +131,10 @@
   call.notice = ParseServerNotice(m_protocol, head.headers);
   if (call.server != m_gate.server || head.status == kHttpMisdirected) return;
   if (call.notice.is_leaving) OnServerLeaving("answer");
-  ServerRateLimit* limit = RateLimitOf(m_admission);
   // A limit that cannot be read neither replaces nor ends the one in force.
-  if (limit == nullptr || call.notice.has_invalid_limit) return;
-  if (limit->OnAnswer(call.notice.limit_per_s, call.start_us, EventLoop::NowUs())) {
+  if (call.notice.has_invalid_limit) return;
+  ServerRateLimit& limit = RateLimitOf(m_admission);
+  if (limit.OnAnswer(call.notice.limit_per_s, call.start_us, EventLoop::NowUs())) {
     OnLimitChanged("answer");
   }
 }
@@ -148,11 +145,17 @@
   auto statement = text == nullptr ? std::nullopt : ParseServerStatement(*text);
   if (!statement || statement->server != m_gate.server) return;
   if (statement->is_leaving) OnServerLeaving("entry_node");
-  ServerRateLimit* limit = RateLimitOf(m_admission);
-  bool has_limit = limit != nullptr && statement->limit_per_s;
-  if (has_limit && limit->OnReported(*statement->limit_per_s, EventLoop::NowUs())) {
-    OnLimitChanged("entry_node");
-  }
+  if (!statement->limit_per_s) return;
+  ServerRateLimit& limit = RateLimitOf(m_admission);
+  if (limit.OnReported(*statement->limit_per_s, EventLoop::NowUs())) OnLimitChanged("entry_node");
+}
+
+// Ends the limit of a server whose place another one has taken.
+void ServingProxy::EndLimit() {
+  ServerRateLimit& limit = RateLimitOf(m_admission);
+  bool had_limit = limit.limit_per_s().has_value();
+  limit.Reset();
+  if (had_limit) OnLimitChanged("new_server");
 }
 
 void ServingProxy::OnServerLeaving(std::string_view source) {
@@ -175,20 +178,17 @@
 }
 
 double ServingProxy::LimitInForce() const {
-  const ServerRateLimit* limit = RateLimitOf(m_admission);
-  return limit == nullptr ? kNoLimit : limit->limit_per_s().value_or(kNoLimit);
+  return RateLimitOf(m_admission).limit_per_s().value_or(kNoLimit);
 }
 
 int64_t ServingProxy::LimitAgeMs(int64_t now_us) const {
-  const ServerRateLimit* limit = RateLimitOf(m_admission);
-  bool has_limit = limit != nullptr && limit->limit_per_s();
-  return has_limit ? (now_us - limit->named_us()) / kUsPerMs : 0;
+  const ServerRateLimit& limit = RateLimitOf(m_admission);
+  return limit.limit_per_s() ? (now_us - limit.named_us()) / kUsPerMs : 0;
 }
 
 // What entry nodes are to remember for this node; nullopt if there is nothing.
 std::optional<std::string> ServingProxy::ServerStatementText() const {
-  const ServerRateLimit* limit = RateLimitOf(m_admission);
-  std::optional<double> limit_per_s = limit == nullptr ? std::nullopt : limit->limit_per_s();
+  std::optional<double> limit_per_s = RateLimitOf(m_admission).limit_per_s();
   if (!limit_per_s && !m_gate.is_leaving) return std::nullopt;
   return FormatServerStatement(
       {.server = m_gate.server, .limit_per_s = limit_per_s, .is_leaving = m_gate.is_leaving});
--- a/test/platform/server_limit_test.cc
+++ b/test/platform/server_limit_test.cc
@@ -108,5 +108,19 @@
   EXPECT_EQ(served, static_cast<int64_t>(m_sent.size()));
 }
 
+// Guards against a gauge that shows the limit of a former run of the server.
+TEST_F(ServerLimitTest, GaugeShowsNoLimitAfterTheLifetimeOfTheServer) {
+  Backend backend{.notice = Limit("8")};
+  Vm& serving = AddServer("i-1", backend);
+  StartEntries();
+  auto metrics = [&] {
+    return SendAndWait(serving.settings.listen.admin_port, "GET", "/metrics")->body();
+  };
+  ASSERT_NE(metrics().find("server_limit_per_s 8\n"), std::string::npos);
+  serving.sequence = 0;
+  ASSERT_EQ(SendHeartbeat(serving, "i-1", "ready", 2000), 200);
+  EXPECT_NE(metrics().find("server_limit_per_s -1\n"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace guavatrail
