Read whole integers in one place

ParseNumber replaces six copies of the same four lines (server_statement, order_key, operator_queries, http_headers, publisher, admin_client). Behaviour is as before. LimitFixture::AddServer loses a parameter that no test used.

--- a/src/admin_client.cc
+++ b/src/admin_client.cc
@@ -4,10 +4,11 @@
 #include <event2/http.h>
 #include <glog/logging.h>
 
-#include <charconv>
 #include <functional>
 #include <memory>
 
+#include "parse_number.h"
+
 namespace guavatrail {
 
 namespace {
@@ -107,9 +108,8 @@
     return tl::make_unexpected("found \"" + std::string(text) + "\", allowed is IP:PORT");
   }
   address.ip = text.substr(0, colon);
-  std::string_view digits = text.substr(colon + 1);
-  auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), address.port);
-  if (error != std::errc() || end != digits.data() + digits.size() || address.port == 0) {
+  address.port = ParseNumber<uint16_t>(text.substr(colon + 1)).value_or(0);
+  if (address.port == 0) {
     return tl::make_unexpected("found \"" + std::string(text) + "\", allowed is IP:PORT");
   }
   return address;
--- a/src/http_headers.cc
+++ b/src/http_headers.cc
@@ -5,9 +5,10 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
 #include <cstdio>
 
+#include "parse_number.h"
+
 namespace guavatrail {
 
 namespace {
@@ -75,11 +76,7 @@
 }
 
 int64_t HeaderNumber(const HeaderList& headers, std::string_view name) {
-  std::string_view text = HeaderValue(headers, name);
-  int64_t value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  bool is_number = error == std::errc() && end == text.data() + text.size();
-  return is_number ? std::max<int64_t>(0, value) : 0;
+  return std::max<int64_t>(0, ParseNumber<int64_t>(HeaderValue(headers, name)).value_or(0));
 }
 
 void RemoveHeader(HeaderList& headers, std::string_view name) {
--- a/src/operator_queries.cc
+++ b/src/operator_queries.cc
@@ -1,6 +1,5 @@
 #include "operator_queries.h"
 
-#include <charconv>
 #include <fstream>
 #include <iomanip>
 #include <optional>
@@ -10,6 +9,7 @@
 #include "burn_report.h"
 #include "config_store.h"
 #include "fleet_query.h"
+#include "parse_number.h"
 #include "platform_client.h"
 #include "release_note.h"
 
@@ -69,9 +69,8 @@
 }  // namespace
 
 tl::expected<uint64_t, std::string> ParseVersion(std::string_view text) {
-  uint64_t version = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
-  if (error != std::errc() || end != text.data() + text.size() || version == 0) {
+  uint64_t version = ParseNumber<uint64_t>(text).value_or(0);
+  if (version == 0) {
     return tl::make_unexpected("found \"" + std::string(text) +
                                "\", allowed is a version, an integer from 1");
   }
--- a/src/order_key.cc
+++ b/src/order_key.cc
@@ -3,9 +3,10 @@
 #include <glog/logging.h>
 #include <sodium.h>
 
-#include <charconv>
 #include <vector>
 
+#include "parse_number.h"
+
 namespace guavatrail {
 
 namespace {
@@ -35,12 +36,9 @@
 }
 
 // Accepts only the format of std::to_string, so that each key has exactly one text form.
-std::optional<uint64_t> ParseNumber(std::string_view text) {
-  uint64_t value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+std::optional<uint64_t> ParseCanonicalNumber(std::string_view text) {
   if (text.size() > 1 && text.front() == '0') return std::nullopt;
-  return value;
+  return ParseNumber<uint64_t>(text);
 }
 
 bool IsTag(std::string_view text) {
@@ -60,8 +58,8 @@
   if (fields.size() != kFieldCount || fields[0] != kFormat || fields[1].empty()) {
     return std::nullopt;
   }
-  std::optional<uint64_t> incarnation = ParseNumber(fields[2]);
-  std::optional<uint64_t> serial = ParseNumber(fields[3]);
+  std::optional<uint64_t> incarnation = ParseCanonicalNumber(fields[2]);
+  std::optional<uint64_t> serial = ParseCanonicalNumber(fields[3]);
   if (!incarnation || !serial || !IsTag(fields[4])) return std::nullopt;
   return OrderKey{std::string(fields[1]), *incarnation, *serial, std::string(fields[4])};
 }
--- a/src/publisher.cc
+++ b/src/publisher.cc
@@ -3,9 +3,9 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <charconv>
 
 #include "config_store.h"
+#include "parse_number.h"
 #include "publish_decision.h"
 
 namespace guavatrail {
@@ -28,11 +28,7 @@
 }
 
 // The version in a claim. A malformed claim gives 0, which causes a search of the whole log.
-uint64_t ParseClaim(std::string_view value) {
-  uint64_t version = 0;
-  auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), version);
-  return error == std::errc() && end == value.data() + value.size() ? version : 0;
-}
+uint64_t ParseClaim(std::string_view value) { return ParseNumber<uint64_t>(value).value_or(0); }
 
 }  // namespace
 
--- a/src/server_statement.cc
+++ b/src/server_statement.cc
@@ -1,8 +1,8 @@
 #include "server_statement.h"
 
-#include <charconv>
 #include <sstream>
 
+#include "parse_number.h"
 #include "server_notice.h"
 
 namespace guavatrail {
@@ -22,13 +22,6 @@
   return value;
 }
 
-std::optional<int64_t> ParseInteger(std::string_view text) {
-  int64_t value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  return value;
-}
-
 }  // namespace
 
 // The id comes last, since it may contain any character.
@@ -45,7 +38,7 @@
   constexpr std::string_view kId = "id=";
   ServerStatement statement;
   auto started = TakeField(text, "started=");
-  auto started_ms = started ? ParseInteger(*started) : std::nullopt;
+  auto started_ms = started ? ParseNumber<int64_t>(*started) : std::nullopt;
   if (!started_ms) return std::nullopt;
   statement.server.started_ms = *started_ms;
   if (auto limit = TakeField(text, "limit=")) {
--- a/test/support/limit_fixture.h
+++ b/test/support/limit_fixture.h
@@ -24,7 +24,7 @@
   static std::string Leaving() { return "Server-Leaving: 1\r\n"; }
 
   // Adds a node with a server that is ready.
-  Vm& AddServer(const std::string& id, Backend& backend, int64_t born = 1000) {
+  Vm& AddServer(const std::string& id, Backend& backend) {
     Vm& vm = AddVm("catalogo");
     vm.handler = [&backend](FakeConnection& c, const std::string& request) {
       backend.arrival_us.push_back(EventLoop::NowUs());
@@ -33,7 +33,7 @@
                         "X-Request-Id: " + HeaderIn(request, "X-Request-Id") +
                             "\r\nX-Response-Stamp: stamp\r\n" + backend.notice));
     };
-    EXPECT_EQ(SendHeartbeat(vm, id, "ready", born), 200);
+    EXPECT_EQ(SendHeartbeat(vm, id), 200);
     return vm;
   }
 
