Let entry nodes remember a reported leave for the node beside the server

What callers saw (ReportedLeaveSurvivesARestartDuringAStoreOutage): a server that has left gets requests again after its node has restarted, for up to 2 s or until the next leave, if the leave was acknowledged while the store was away, or was lost by a return of the store, and a heartbeat from before the leave arrives late.

Cause: entry nodes were told of leaves that a server states in its answers, but not of those that it reports to its node; the new process had only its stored record. A reported leave is now part of what the node states to entry nodes, which send it back with their requests. The test failed before. Found while looking for lost acknowledged leaves; it needs no return of the store.

--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -27,7 +27,7 @@
 inline constexpr char kWaitMsHeader[] = "X-Guavatrail-Wait-Ms";
 inline constexpr char kIncarnationHeader[] = "X-Guavatrail-Incarnation";
 inline constexpr char kLoadHeader[] = "X-Guavatrail-Load";
-// What the serving node knows from its server's answers; see server_statement.h.
+// What the serving node knows from its server's answers and reports; see server_statement.h.
 inline constexpr char kServerStatementHeader[] = "X-Guavatrail-Server";
 inline constexpr char kOutcomeHeader[] = "X-Guavatrail-Outcome";
 // The reason why a request was not run, for logs and for the selection of the next node.
--- a/src/server_statement.h
+++ b/src/server_statement.h
@@ -1,5 +1,5 @@
-// Defines ServerStatement, what the node beside a backend server knows from the answers of the
-// server, in the form in which nodes exchange it.
+// Defines ServerStatement, what the node beside a backend server knows from the answers and reports
+// of the server, in the form in which nodes exchange it.
 #pragma once
 
 #include <optional>
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -58,6 +58,8 @@
   // Refuses new work as not run. Running requests continue; queued ones may still start during
   // `queue_time` and are then refused.
   void CloseGate(std::string_view reason, std::chrono::milliseconds queue_time);
+  // Tells entry nodes that `server` is leaving, as an answer of the server may state.
+  void StateLeave(const ServerLifetime& server);
   // Sets the handler of the requests of other nodes for an internal path.
   void SetPathHandler(const std::string& path, HttpListener::Handler handler) {
     m_path_handlers[path] = std::move(handler);
--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -158,6 +158,10 @@
   if (had_limit) OnLimitChanged("new_server");
 }
 
+void ServingProxy::StateLeave(const ServerLifetime& server) {
+  if (server == m_gate.server) OnServerLeaving("report");
+}
+
 void ServingProxy::OnServerLeaving(std::string_view source) {
   if (m_gate.is_leaving) return;
   m_gate.is_leaving = true;
--- a/test/platform/server_leaving_test.cc
+++ b/test/platform/server_leaving_test.cc
@@ -87,6 +87,23 @@
   EXPECT_EQ(CountArrivals(*m_entries[1]), 0U);
 }
 
+// The leave was acknowledged while the store was away and could not be stored. The new process
+// reads a record that is older, and gets a heartbeat that was sent before the leave.
+TEST_F(ServerLeavingTest, ReportedLeaveSurvivesARestartDuringAStoreOutage) {
+  StartServer();
+  m_store.SetMode(FakeStore::Mode::kNoAnswer);
+  ASSERT_EQ(Deregister(*m_serving, "i-1"), 200);
+  for (Vm* entry : m_entries) EXPECT_EQ(Call(*entry, "/parts/1", "refused")->status(), 503);
+  m_serving->node.reset();
+  StartNode(*m_serving);
+  m_store.SetMode(FakeStore::Mode::kHealthy);
+  RunFor(m_loop, milliseconds(300));
+  EXPECT_EQ(SendHeartbeat(*m_serving, "i-1"), 200);
+  RunFor(m_loop, milliseconds(100));
+  EXPECT_EQ(CountArrivals(*m_entries[0]), 0U);
+  EXPECT_EQ(CountArrivals(*m_entries[1]), 0U);
+}
+
 TEST_F(ServerLeavingTest, WorkGoesToTheOtherServer) {
   Backend other;
   AddServer("i-2", other);
