--- a/test/correctness/endpoint_updates_converge_test.cc
+++ b/test/correctness/endpoint_updates_converge_test.cc
@@ -5,21 +5,12 @@
 
 #include "endpoint_codec.h"
 #include "endpoint_directory.h"
+#include "endpoint_fixture.h"
 #include "random_source.h"
 
 namespace guavatrail {
 namespace {
 
-Endpoint EndpointOf(const std::string& node, uint64_t incarnation = 1) {
-  Endpoint endpoint;
-  endpoint.node = node;
-  endpoint.incarnation = incarnation;
-  endpoint.service = "catalogo";
-  endpoint.ip = "10.0.0.1";
-  endpoint.peer_port = 7620;
-  return endpoint;
-}
-
 // Names and incarnations of the entries that are not removed.
 std::map<std::string, uint64_t> StateOf(const EndpointDirectory& directory) {
   std::map<std::string, uint64_t> state;
@@ -64,7 +55,7 @@
       if (change.incarnation == 0) {
         directory.Remove(change.node, 0);
       } else {
-        directory.Put(EndpointOf(change.node, change.incarnation), {seen + 1});
+        directory.Put(MakeEndpoint(change.node, change.incarnation), {seen + 1});
       }
     }
     directory.CommitRevision({revision});
@@ -74,7 +65,7 @@
   void ReadAll(const ModelStore& store) {
     directory.BeginFullSync();
     for (const auto& [node, incarnation] : store.records) {
-      directory.Put(EndpointOf(node, incarnation), {incarnation});
+      directory.Put(MakeEndpoint(node, incarnation), {incarnation});
     }
     directory.FinishFullSync(0);
     seen = store.changes.size();
@@ -90,13 +81,13 @@
 
 TEST(EndpointUpdates, OnlyChangesAreSent) {
   EndpointDirectory source;
-  for (int i = 0; i < 50; ++i) source.Put(EndpointOf("node-" + std::to_string(i)), {10});
+  for (int i = 0; i < 50; ++i) source.Put(MakeEndpoint("node-" + std::to_string(i)), {10});
   source.CommitRevision({10});
   EndpointDirectory follower;
   follower.Apply(Transmitted(*source.UpdateSince(follower.revision())), 0);
   EXPECT_EQ(StateOf(follower), StateOf(source));
   EXPECT_FALSE(source.UpdateSince(follower.revision()));
-  source.Put(EndpointOf("node-7", 2), {11});
+  source.Put(MakeEndpoint("node-7", 2), {11});
   source.Remove("node-8", 0);
   source.CommitRevision({12});
   std::optional<EndpointUpdate> update = source.UpdateSince(follower.revision());
@@ -109,12 +100,12 @@
 
 TEST(EndpointUpdates, FollowerBehindTheLogGetsAllEntries) {
   EndpointDirectory source;
-  source.Put(EndpointOf("first"), {1});
+  source.Put(MakeEndpoint("first"), {1});
   source.CommitRevision({1});
   EndpointDirectory follower;
   follower.Apply(*source.UpdateSince({0}), 0);
   for (uint64_t revision = 2; revision < 3000; ++revision) {
-    source.Put(EndpointOf("node-" + std::to_string(revision % 7), revision), {revision});
+    source.Put(MakeEndpoint("node-" + std::to_string(revision % 7), revision), {revision});
     source.CommitRevision({revision});
   }
   std::optional<EndpointUpdate> update = source.UpdateSince(follower.revision());
@@ -126,10 +117,10 @@
 
 TEST(EndpointUpdates, AnOlderStateChangesNothing) {
   EndpointDirectory source;
-  source.Put(EndpointOf("a", 1), {1});
+  source.Put(MakeEndpoint("a", 1), {1});
   source.CommitRevision({1});
   EndpointUpdate old = *source.UpdateSince({0});
-  source.Put(EndpointOf("a", 2), {2});
+  source.Put(MakeEndpoint("a", 2), {2});
   source.CommitRevision({2});
   EndpointDirectory follower;
   follower.Apply(*source.UpdateSince({0}), 0);
@@ -139,9 +130,9 @@
 
 TEST(EndpointUpdates, LocalEntryIsSentOnlyAfterItIsStored) {
   EndpointDirectory source;
-  source.Put(EndpointOf("self", 1), {1});
+  source.Put(MakeEndpoint("self", 1), {1});
   source.CommitRevision({1});
-  Endpoint own = EndpointOf("self", 1);
+  Endpoint own = MakeEndpoint("self", 1);
   own.draining = true;
   source.PutLocal(own);
   EXPECT_FALSE(source.UpdateSince({1}));
@@ -155,12 +146,12 @@
 // reach a follower that has the entry from another source.
 TEST(EndpointUpdates, RemovalOfAnEntryUnknownToTheSourceIsSent) {
   EndpointDirectory other;
-  other.Put(EndpointOf("a"), {5});
+  other.Put(MakeEndpoint("a"), {5});
   other.CommitRevision({5});
   EndpointDirectory follower;
   follower.Apply(*other.UpdateSince({0}), 0);
   EndpointDirectory source;
-  source.Put(EndpointOf("b"), {4});
+  source.Put(MakeEndpoint("b"), {4});
   source.CommitRevision({4});
   source.Remove("a", 0);
   source.CommitRevision({6});
@@ -170,14 +161,14 @@
 
 TEST(EndpointUpdates, FollowerBehindAFullSyncGetsAllEntries) {
   EndpointDirectory source;
-  source.Put(EndpointOf("a"), {1});
+  source.Put(MakeEndpoint("a"), {1});
   source.CommitRevision({1});
   source.BeginFullSync();
-  source.Put(EndpointOf("a"), {1});
+  source.Put(MakeEndpoint("a"), {1});
   source.FinishFullSync(0);
   source.CommitRevision({9});
   EXPECT_FALSE(source.UpdateSince({1})) << "expected no update, since no entry has changed";
-  source.Put(EndpointOf("b"), {10});
+  source.Put(MakeEndpoint("b"), {10});
   source.CommitRevision({10});
   EXPECT_TRUE(source.UpdateSince({8})->is_whole);
   EXPECT_FALSE(source.UpdateSince({9})->is_whole);
@@ -222,9 +213,9 @@
 
 TEST(EndpointUpdates, InvalidUpdatesAreRejected) {
   EXPECT_FALSE(DecodeEndpoints("\xff\xff?"));
-  EndpointUpdate update{.revision = {3}, .entries = {{.endpoint = EndpointOf("")}}};
+  EndpointUpdate update{.revision = {3}, .entries = {{.endpoint = MakeEndpoint("")}}};
   EXPECT_FALSE(DecodeEndpoints(EncodeEndpoints(update)));
-  update.entries[0].endpoint = EndpointOf("a");
+  update.entries[0].endpoint = MakeEndpoint("a");
   update.entries[0].endpoint.peer_port = 0;
   EXPECT_FALSE(DecodeEndpoints(EncodeEndpoints(update)));
 }
--- a/test/correctness/endpoint_updates_of_eras_test.cc
+++ b/test/correctness/endpoint_updates_of_eras_test.cc
@@ -6,6 +6,7 @@
 
 #include "endpoint_codec.h"
 #include "endpoint_directory.h"
+#include "endpoint_fixture.h"
 #include "random_source.h"
 
 namespace guavatrail {
@@ -15,16 +16,6 @@
 constexpr int kRounds = 300;
 constexpr uint64_t kNodes = 8;
 
-Endpoint EndpointAt(const std::string& node, uint64_t incarnation) {
-  Endpoint endpoint;
-  endpoint.node = node;
-  endpoint.incarnation = incarnation;
-  endpoint.service = "catalogo";
-  endpoint.ip = "10.0.0.1";
-  endpoint.peer_port = 7620;
-  return endpoint;
-}
-
 // Model of the store. The value of a record is unique over all eras.
 struct ModelStore {
   struct Change {
@@ -74,7 +65,7 @@
     seen = store.changes.size();
     directory.BeginFullSync();
     for (const auto& [node, record] : store.Records()) {
-      directory.Put(EndpointAt(node, record.second), {record.first, era});
+      directory.Put(MakeEndpoint(node, record.second), {record.first, era});
     }
     directory.FinishFullSync(0);
     directory.CommitRevision({seen, era});
@@ -91,7 +82,7 @@
       if (change.value == 0) {
         directory.Remove(change.node, 0);
       } else {
-        directory.Put(EndpointAt(change.node, change.value), {seen + 1, era});
+        directory.Put(MakeEndpoint(change.node, change.value), {seen + 1, era});
       }
     }
     directory.CommitRevision({seen, era});
@@ -152,25 +143,25 @@
 // The store's copy may be older than the leave of a server.
 TEST(EndpointUpdatesOfEras, KnownLeaveIsKeptForTheLifetimeOfTheServer) {
   EndpointDirectory directory;
-  Endpoint endpoint = EndpointAt("a", 5);
+  Endpoint endpoint = MakeEndpoint("a", 5);
   endpoint.draining = true;
   directory.Put(endpoint, {9, 1});
   directory.CommitRevision({9, 1});
   directory.BeginFullSync();
-  directory.Put(EndpointAt("a", 5), {4, 2});
+  directory.Put(MakeEndpoint("a", 5), {4, 2});
   directory.FinishFullSync(0);
   directory.CommitRevision({6, 2});
   EXPECT_TRUE(directory.list()->FindNode("a")->draining);
-  directory.Put(EndpointAt("a", 8), {7, 2});
+  directory.Put(MakeEndpoint("a", 8), {7, 2});
   EXPECT_FALSE(directory.list()->FindNode("a")->draining);
 }
 
 // A partial update of a new era contains only what has changed since some revision of that era.
 TEST(EndpointUpdatesOfEras, PartialUpdateDoesNotLeadToANewEra) {
   EndpointDirectory directory;
-  directory.Put(EndpointAt("a", 5), {9, 1});
+  directory.Put(MakeEndpoint("a", 5), {9, 1});
   directory.CommitRevision({9, 1});
-  directory.Apply({.revision = {12, 2}, .entries = {{EndpointAt("b", 6), {12, 2}}}}, 0);
+  directory.Apply({.revision = {12, 2}, .entries = {{MakeEndpoint("b", 6), {12, 2}}}}, 0);
   EXPECT_EQ(directory.revision(), (StoreRevision{9, 1}));
   EXPECT_EQ(directory.list()->FindNode("b"), nullptr);
 }
--- a/test/platform/restored_store_exploration_test.cc
+++ b/test/platform/restored_store_exploration_test.cc
@@ -3,6 +3,7 @@
 // such orders at random, with real watchers and record writers at one stand-in store for each seed.
 #include <gtest/gtest.h>
 
+#include "endpoint_fixture.h"
 #include "endpoint_record_writer.h"
 #include "fake_store.h"
 #include "object_watcher.h"
@@ -125,10 +126,7 @@
   }
 
   void SetNextRecord() {
-    ++m_record.report.sequence;
-    m_record.endpoint = {
-        .node = "node-1", .service = "catalogo", .ip = "10.0.0.1", .peer_port = 7620};
-    m_record.report.lifetime = {"i-1", 5};
+    m_record = MakeRecord(m_record.report.sequence + 1);
     m_writer.SetDesired(m_record);
   }
 
--- a/test/platform/restored_store_sync_test.cc
+++ b/test/platform/restored_store_sync_test.cc
@@ -2,6 +2,7 @@
 // has come back from an older copy and gives out the lost revisions again.
 #include <gtest/gtest.h>
 
+#include "endpoint_fixture.h"
 #include "endpoint_record_writer.h"
 #include "fake_store.h"
 #include "object_watcher.h"
@@ -22,17 +23,6 @@
     m_client.SetEraHandler([this] { m_writer.OnNewEra(); });
   }
 
-  static NodeRecord RecordOf(uint64_t sequence, bool draining = false) {
-    NodeRecord record;
-    record.endpoint = {
-        .node = "node-1", .service = "catalogo", .ip = "10.0.0.1", .peer_port = 7620};
-    record.endpoint.draining = draining;
-    record.report.lifetime = {"i-1", 5};
-    record.report.sequence = sequence;
-    record.report.state = draining ? ServerState::kDraining : ServerState::kReady;
-    return record;
-  }
-
   const json* Stored() const { return m_store.Find(kEndpointKind, "node-1"); }
 
   bool IsStored(const NodeRecord& record) const {
@@ -133,24 +123,24 @@
 TEST_F(RestoredStoreSync, LostRecordIsWrittenAgain) {
   m_records.Start();
   auto copy = m_store.TakeCopy();
-  m_writer.SetDesired(RecordOf(1));
-  ASSERT_TRUE(BecomesStored(RecordOf(1)));
+  m_writer.SetDesired(MakeRecord(1));
+  ASSERT_TRUE(BecomesStored(MakeRecord(1)));
   LoseSince(*copy);
   m_store.SetMode(FakeStore::Mode::kHealthy);
-  EXPECT_TRUE(BecomesStored(RecordOf(1)));
+  EXPECT_TRUE(BecomesStored(MakeRecord(1)));
 }
 
 // An acknowledged leave must not be undone by the return of the store.
 TEST_F(RestoredStoreSync, RecordRestoredToAnOlderStateIsReplaced) {
   m_records.Start();
-  m_writer.SetDesired(RecordOf(1));
-  ASSERT_TRUE(BecomesStored(RecordOf(1)));
+  m_writer.SetDesired(MakeRecord(1));
+  ASSERT_TRUE(BecomesStored(MakeRecord(1)));
   auto copy = m_store.TakeCopy();
-  m_writer.SetDesired(RecordOf(2, true));
-  ASSERT_TRUE(BecomesStored(RecordOf(2, true)));
+  m_writer.SetDesired(MakeRecord(2, true));
+  ASSERT_TRUE(BecomesStored(MakeRecord(2, true)));
   LoseSince(*copy);
   m_store.SetMode(FakeStore::Mode::kHealthy);
-  EXPECT_TRUE(BecomesStored(RecordOf(2, true)));
+  EXPECT_TRUE(BecomesStored(MakeRecord(2, true)));
 }
 
 // A record that another process of this node has written counts as read only once it has been read
@@ -161,47 +151,47 @@
                               [&](const json& spec) { conflicts.push_back(spec); });
   m_watcher.Start();
   auto copy = m_store.TakeCopy();
-  writer.SetDesired(RecordOf(1));
+  writer.SetDesired(MakeRecord(1));
   ASSERT_TRUE(RunUntil(m_loop, [&] { return writer.is_stored(); }));
   uint64_t known = m_store.revision();
   LoseSince(*copy);
-  m_store.Put(kEndpointKind, "node-1", EncodeRecord(RecordOf(7)));
+  m_store.Put(kEndpointKind, "node-1", EncodeRecord(MakeRecord(7)));
   ASSERT_EQ(m_store.revision(), known);
   m_store.SetMode(FakeStore::Mode::kHealthy);
   ASSERT_TRUE(RunUntil(
       m_loop, [&] { return m_client.era() == m_store.era(); }, kRecoveryTime));
-  writer.SetDesired(RecordOf(2));
+  writer.SetDesired(MakeRecord(2));
   ASSERT_TRUE(RunUntil(
       m_loop, [&] { return writer.is_stored(); }, kRecoveryTime));
-  EXPECT_EQ(conflicts, std::vector<json>{EncodeRecord(RecordOf(7))});
-  EXPECT_TRUE(IsStored(RecordOf(2)));
+  EXPECT_EQ(conflicts, std::vector<json>{EncodeRecord(MakeRecord(7))});
+  EXPECT_TRUE(IsStored(MakeRecord(2)));
 }
 
 // The store executes a write of the former era late; its condition holds by chance.
 TEST_F(RestoredStoreSync, LateWriteOfTheFormerEraIsCorrected) {
   m_records.Start();
-  m_writer.SetDesired(RecordOf(1));
-  ASSERT_TRUE(BecomesStored(RecordOf(1)));
+  m_writer.SetDesired(MakeRecord(1));
+  ASSERT_TRUE(BecomesStored(MakeRecord(1)));
   auto copy = m_store.TakeCopy();
   m_store.SetMode(FakeStore::Mode::kAnswerLost);
-  m_writer.SetDesired(RecordOf(2));
+  m_writer.SetDesired(MakeRecord(2));
   RunFor(m_loop, milliseconds(100));
   size_t late = static_cast<size_t>(m_store.writes()) - 1;
   LoseSince(*copy);
-  m_writer.SetDesired(RecordOf(3, true));
+  m_writer.SetDesired(MakeRecord(3, true));
   ASSERT_TRUE(m_store.ReplayWrite(late));
   m_store.SetMode(FakeStore::Mode::kHealthy);
-  EXPECT_TRUE(BecomesStored(RecordOf(3, true)));
+  EXPECT_TRUE(BecomesStored(MakeRecord(3, true)));
 }
 
 // The server has left, and the store's copy has the record at another revision.
 TEST_F(RestoredStoreSync, RecordAtAnUnknownRevisionIsRemoved) {
   auto empty = m_store.TakeCopy();
-  m_writer.SetDesired(RecordOf(1, true));
-  ASSERT_TRUE(BecomesStored(RecordOf(1, true)));
+  m_writer.SetDesired(MakeRecord(1, true));
+  ASSERT_TRUE(BecomesStored(MakeRecord(1, true)));
   m_store.Restore(*empty);
   m_store.Put("things", "a", 1);
-  m_store.Put(kEndpointKind, "node-1", EncodeRecord(RecordOf(1, true)));
+  m_store.Put(kEndpointKind, "node-1", EncodeRecord(MakeRecord(1, true)));
   bool is_removed = false;
   m_writer.Remove([&] { is_removed = true; });
   ASSERT_TRUE(RunUntil(m_loop, [&] { return is_removed; }));
--- a/test/platform/restored_store_test.cc
+++ b/test/platform/restored_store_test.cc
@@ -44,6 +44,14 @@
     m_store.SetMode(FakeStore::Mode::kHealthy);
   }
 
+  // Puts version 2 in force on all nodes; the store then returns from a copy with version 1.
+  void LoseVersion2() {
+    auto copy = m_store.TakeCopy();
+    PutConfig(2, "catalogo", 1.5);
+    ASSERT_TRUE(BecomesInForce(2));
+    LoseSince(*copy);
+  }
+
   std::string StoredState(const Vm& vm) const {
     const auto* record = m_store.Find(kEndpointKind, vm.settings.node.name);
     return record == nullptr ? "missing" : (*record)["server"]["state"].get<std::string>();
@@ -94,10 +102,7 @@
 
 TEST_F(RestoredStoreTest, RestoredConfigDoesNotReplaceANewerOne) {
   StartMesh();
-  auto copy = m_store.TakeCopy();
-  PutConfig(2, "catalogo", 1.5);
-  ASSERT_TRUE(BecomesInForce(2));
-  LoseSince(*copy);
+  LoseVersion2();
   for (int i = 0; i < 10; ++i) {
     RunFor(m_loop, milliseconds(100));
     for (auto& vm : m_vms) EXPECT_EQ(VersionOf(*vm), 2U);
@@ -111,10 +116,7 @@
 // the operator writes again.
 TEST_F(RestoredStoreTest, RestartedNodeGetsTheNewerConfigOfTheOthers) {
   StartMesh();
-  auto copy = m_store.TakeCopy();
-  PutConfig(2, "catalogo", 1.5);
-  ASSERT_TRUE(BecomesInForce(2));
-  LoseSince(*copy);
+  LoseVersion2();
   for (auto& vm : m_vms) {
     vm->node.reset();
     StartNode(*vm);
--- a/test/platform/store_sync_test.cc
+++ b/test/platform/store_sync_test.cc
@@ -2,6 +2,7 @@
 // connection, and against a node record that is lost, stale or overwritten by a late write.
 #include <gtest/gtest.h>
 
+#include "endpoint_fixture.h"
 #include "endpoint_record_writer.h"
 #include "fake_store.h"
 #include "object_watcher.h"
@@ -27,17 +28,6 @@
         m_record_writer(m_loop, m_client, m_random, "node-1",
                         [this](const json& spec) { m_conflicts.push_back(spec); }) {}
 
-  static NodeRecord RecordOf(uint64_t sequence, bool draining = false) {
-    NodeRecord record;
-    record.endpoint = {
-        .node = "node-1", .service = "catalogo", .ip = "10.0.0.1", .peer_port = 7620};
-    record.endpoint.draining = draining;
-    record.report.lifetime = {"i-1", 5};
-    record.report.sequence = sequence;
-    record.report.state = draining ? ServerState::kDraining : ServerState::kReady;
-    return record;
-  }
-
   const json* Stored() const { return m_store.Find(kEndpointKind, "node-1"); }
   bool IsStored(const NodeRecord& record) const {
     return Stored() != nullptr && *Stored() == EncodeRecord(record);
@@ -67,7 +57,7 @@
 // Guards against the record of a node that has ended, which stays because its first write was in
 // flight when the node ended.
 TEST_F(StoreSync, RecordThatIsBeingCreatedIsRemoved) {
-  m_record_writer.SetDesired(RecordOf(1, true));
+  m_record_writer.SetDesired(MakeRecord(1, true));
   bool is_removed = false;
   m_record_writer.Remove([&] { is_removed = true; });
   ASSERT_TRUE(RunUntil(m_loop, [&] { return is_removed; }));
@@ -132,62 +122,62 @@
 }
 
 TEST_F(StoreSync, RecordIsCreatedAndReplaced) {
-  m_record_writer.SetDesired(RecordOf(1));
-  ASSERT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(1)); }));
-  m_record_writer.SetDesired(RecordOf(2, true));
-  ASSERT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(2, true)); }));
+  m_record_writer.SetDesired(MakeRecord(1));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return IsStored(MakeRecord(1)); }));
+  m_record_writer.SetDesired(MakeRecord(2, true));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return IsStored(MakeRecord(2, true)); }));
   EXPECT_TRUE(RunUntil(m_loop, [&] { return m_record_writer.is_stored(); }));
   EXPECT_EQ(m_store.writes(), 2);
 }
 
 TEST_F(StoreSync, RecordOfAnEarlierProcessIsReplaced) {
-  m_store.Put(kEndpointKind, "node-1", EncodeRecord(RecordOf(9, true)));
-  m_record_writer.SetDesired(RecordOf(10));
-  EXPECT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(10)); }));
+  m_store.Put(kEndpointKind, "node-1", EncodeRecord(MakeRecord(9, true)));
+  m_record_writer.SetDesired(MakeRecord(10));
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return IsStored(MakeRecord(10)); }));
   ASSERT_EQ(m_conflicts.size(), 1U);
-  EXPECT_EQ(m_conflicts[0], EncodeRecord(RecordOf(9, true)));
+  EXPECT_EQ(m_conflicts[0], EncodeRecord(MakeRecord(9, true)));
 }
 
 TEST_F(StoreSync, RecordIsStoredAfterALostAnswer) {
   m_store.SetMode(FakeStore::Mode::kAnswerLost);
-  m_record_writer.SetDesired(RecordOf(1));
+  m_record_writer.SetDesired(MakeRecord(1));
   RunFor(m_loop, std::chrono::milliseconds(250));
-  m_record_writer.SetDesired(RecordOf(2, true));
+  m_record_writer.SetDesired(MakeRecord(2, true));
   m_store.SetMode(FakeStore::Mode::kHealthy);
-  EXPECT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(2, true)); }));
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return IsStored(MakeRecord(2, true)); }));
 }
 
 TEST_F(StoreSync, LateWriteDoesNotUndoANewerOne) {
-  m_record_writer.SetDesired(RecordOf(1));
+  m_record_writer.SetDesired(MakeRecord(1));
   ASSERT_TRUE(RunUntil(m_loop, [&] { return m_record_writer.is_stored(); }));
-  m_record_writer.SetDesired(RecordOf(2));
+  m_record_writer.SetDesired(MakeRecord(2));
   ASSERT_TRUE(
-      RunUntil(m_loop, [&] { return IsStored(RecordOf(2)) && m_record_writer.is_stored(); }));
-  m_record_writer.SetDesired(RecordOf(3, true));
-  ASSERT_TRUE(RunUntil(m_loop, [&] { return IsStored(RecordOf(3, true)); }));
+      RunUntil(m_loop, [&] { return IsStored(MakeRecord(2)) && m_record_writer.is_stored(); }));
+  m_record_writer.SetDesired(MakeRecord(3, true));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return IsStored(MakeRecord(3, true)); }));
   for (int number = 0; number < 2; ++number) EXPECT_FALSE(m_store.ReplayWrite(number));
-  EXPECT_TRUE(IsStored(RecordOf(3, true)));
+  EXPECT_TRUE(IsStored(MakeRecord(3, true)));
 }
 
 TEST_F(StoreSync, RemovedRecordIsRestoredWithinTwoSeconds) {
-  m_record_writer.SetDesired(RecordOf(1));
+  m_record_writer.SetDesired(MakeRecord(1));
   ASSERT_TRUE(RunUntil(m_loop, [&] { return m_record_writer.is_stored(); }));
   m_store.Remove(kEndpointKind, "node-1");
   m_record_writer.OnRemoved();
   EXPECT_TRUE(RunUntil(
-      m_loop, [&] { return IsStored(RecordOf(1)); }, std::chrono::milliseconds(2000)));
+      m_loop, [&] { return IsStored(MakeRecord(1)); }, std::chrono::milliseconds(2000)));
 }
 
 TEST_F(StoreSync, WhenStoredIsCalledOnceTheRecordIsStored) {
   bool was_called = false;
   m_store.SetMode(FakeStore::Mode::kUnavailable);
-  m_record_writer.SetDesired(RecordOf(1, true));
+  m_record_writer.SetDesired(MakeRecord(1, true));
   m_record_writer.WhenStored([&] { was_called = true; });
   RunFor(m_loop, std::chrono::milliseconds(100));
   EXPECT_FALSE(was_called);
   m_store.SetMode(FakeStore::Mode::kHealthy);
   EXPECT_TRUE(RunUntil(m_loop, [&] { return was_called; }));
-  EXPECT_TRUE(IsStored(RecordOf(1, true)));
+  EXPECT_TRUE(IsStored(MakeRecord(1, true)));
 }
 
 }  // namespace
