--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -24,6 +25,8 @@
 RECOVERED_SHARE = 0.9  # Share of calls that must succeed then.
 SETTLED_S = 6.0  # Time after that within which all nodes must agree with the store.
 CALLERS_PER_NODE = 2
+NETWORKS = range(216, 250)  # Of the loopback networks 127.N.0.0/16; scenarios use lower ones.
+CLAIM_PORT = 7308
 MAX_LAG_S = 0.15  # Time bounds are not checked while the event loop lags by more than this.
 
 
@@ -298,6 +301,22 @@
     return list(range(int(first), int(last or first) + 1))
 
 
+def claim_networks(count):
+    """Claims loopback networks that no other soak on this machine uses, until the process ends.
+    Returns the socket that holds each claim, by network number."""
+    claims = {}
+    for net in NETWORKS:
+        if len(claims) == count:
+            break
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{net}.0.2", CLAIM_PORT))
+            claims[net] = claim
+        except OSError:
+            claim.close()
+    return claims
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default=ROOT / "build")
@@ -311,7 +330,8 @@
     if arguments.net:
         return run_one(arguments, seeds[0])
     # Each seed runs in its own process and loopback network.
-    results, running, free = [], [], list(range(60, 60 + arguments.jobs))
+    claims = claim_networks(arguments.jobs)
+    results, running, free = [], [], list(claims)
     while seeds or running:
         while seeds and free:
             net, seed = free.pop(), seeds.pop(0)
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -2,7 +2,6 @@
 import asyncio
 import collections
 import json
-import time
 import urllib.parse
 
 from wire import read_message, respond
@@ -11,8 +10,8 @@
 COPIES = 8  # Number of copies that the store keeps for a return.
 COPY_INTERVAL_S = 1.0
 
-# The state of the store at a time.
-Copy = collections.namedtuple("Copy", "time objects revision history first_kept")
+# The state of the store at some time.
+Copy = collections.namedtuple("Copy", "objects revision history first_kept")
 
 
 class Store:
@@ -122,8 +121,8 @@
 
     async def keep_copies(self):
         while True:
-            self.copies.append(Copy(time.monotonic(), dict(self.objects), self.revision,
-                                    list(self.history), self.first_kept))
+            self.copies.append(Copy(dict(self.objects), self.revision, list(self.history),
+                                    self.first_kept))
             await asyncio.sleep(COPY_INTERVAL_S)
 
     async def restore(self, copy):
