--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -27,6 +27,8 @@
 
   // The output buffer, to which the answer of the current request is written.
   evbuffer* output();
+  // Whether the connection waits for the first byte of a request.
+  bool is_idle() const { return m_state == State::kReading && !m_has_first_byte; }
   bool will_close() const { return m_closes_after_answer; }
   void CloseAfterAnswer() { m_closes_after_answer = true; }
   // Must be called when all bytes of the answer have been added to the output.
--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -21,6 +22,7 @@
 // Length of the accept queue. When it is full the kernel drops the SYN, and the client repeats it
 // only after a second.
 constexpr int kBacklog = 1024;
+constexpr int64_t kFailureLogPeriodUs = 1'000'000;
 
 std::string_view AuthorityOf(std::string_view target) {
   size_t scheme = target.find("://");
@@ -224,8 +226,8 @@
   }
   // While the process has no free file descriptors, accept() fails immediately and repeatedly. The
   // listener stays active and retries on the next event.
-  evconnlistener_set_error_cb(m_listener.get(), [](evconnlistener*, void*) {
-    LOG_EVERY_N(ERROR, 1000) << "event=accept_failed error=\"" << std::strerror(errno) << "\"";
+  evconnlistener_set_error_cb(m_listener.get(), [](evconnlistener*, void* arg) {
+    static_cast<HttpListener*>(arg)->OnAcceptFailed();
   });
   m_port = BoundPort(evconnlistener_get_fd(m_listener.get()));
   return {};
@@ -239,6 +241,23 @@
   m_connections[raw] = std::move(connection);
 }
 
+void HttpListener::OnAcceptFailed() {
+  std::string error = std::strerror(errno);
+  ++m_accept_failures;
+  int64_t now_us = EventLoop::NowUs();
+  if (m_failure_log_us != 0 && now_us - m_failure_log_us < kFailureLogPeriodUs) return;
+  m_failure_log_us = now_us;
+  LOG(ERROR) << "event=accept_failed port=" << m_port << " failures=" << m_accept_failures
+             << " connections=" << m_connections.size() << " idle=" << IdleConnections()
+             << " error=\"" << error << "\"";
+}
+
+size_t HttpListener::IdleConnections() const {
+  return static_cast<size_t>(
+      std::count_if(m_connections.begin(), m_connections.end(),
+                    [](const auto& entry) { return entry.first->is_idle(); }));
+}
+
 void HttpListener::Remove(DownstreamConnection& connection) {
   m_deferred.Post([this, raw = &connection] { m_connections.erase(raw); });
 }
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -156,11 +156,15 @@
 
   uint16_t port() const { return m_port; }
   size_t connections() const { return m_connections.size(); }
+  // Number of times that accept() has failed, mostly for lack of file descriptors.
+  uint64_t accept_failures() const { return m_accept_failures; }
 
  private:
   friend class DownstreamConnection;
   void Accept(evutil_socket_t fd);
+  void OnAcceptFailed();
   void Remove(DownstreamConnection& connection);
+  size_t IdleConnections() const;
 
   struct ListenerDeleter {
     void operator()(evconnlistener* listener) const;
@@ -175,6 +179,8 @@
   std::unique_ptr<evconnlistener, ListenerDeleter> m_listener;
   std::map<DownstreamConnection*, std::unique_ptr<DownstreamConnection>> m_connections;
   uint16_t m_port = 0;
+  uint64_t m_accept_failures = 0;
+  int64_t m_failure_log_us = 0;  // Time of the last log line about them.
 };
 
 }  // namespace guavatrail
