--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -69,11 +69,12 @@
   m_output_entry =
       evbuffer_add_cb(bufferevent_get_output(m_bev), &DownstreamConnection::OnOutput, this);
   bufferevent_enable(m_bev, EV_READ | EV_WRITE);
-  m_timer.Start(listener.m_limits.idle_timeout);
+  StartIdle();
 }
 
 DownstreamConnection::~DownstreamConnection() {
   if (m_request != nullptr) m_request->m_connection = nullptr;
+  EndIdle();
   EndPacing();
   evbuffer_remove_cb_entry(bufferevent_get_output(m_bev), m_output_entry);
   bufferevent_free(m_bev);
@@ -141,6 +142,7 @@
   while (m_state == State::kReading) {
     if (!m_has_first_byte && evbuffer_get_length(input) > 0) {
       m_has_first_byte = true;
+      EndIdle();
       m_reader.SetMaxHeadBytes(m_listener.m_limits.max_head_bytes);
       StartReadTimer();
     }
@@ -187,7 +189,7 @@
   m_state = State::kAnswering;
   m_is_answer_complete = false;
   m_has_first_byte = false;
-  m_closes_after_answer = !m_head.keep_alive || m_listener.m_closes_after_answers;
+  m_closes_after_answer = !m_head.keep_alive || m_listener.ClosesAfterAnswer();
   std::string body(evbuffer_get_length(m_body), '\0');
   evbuffer_remove(m_body, body.data(), body.size());
   auto request = std::make_unique<DownstreamRequest>(*this, std::move(m_head), std::move(body));
@@ -232,7 +234,8 @@
     Linger();
   } else {
     m_state = State::kReading;
-    m_timer.Start(m_listener.m_limits.idle_timeout);
+    StartIdle();
+    m_listener.OnConnectionIdle();
   }
   if (request != nullptr) {
     request->m_connection = nullptr;
@@ -244,6 +247,7 @@
 
 void DownstreamConnection::Linger() {
   m_state = State::kLingering;
+  EndIdle();
   m_timer.Start(kLingerTime);
   evbuffer* input = bufferevent_get_input(m_bev);
   evbuffer_drain(input, evbuffer_get_length(input));
@@ -264,11 +268,35 @@
   Close();
 }
 
+void DownstreamConnection::StartIdle() {
+  std::list<DownstreamConnection*>& idle = m_listener.m_idle;
+  m_idle_entry = idle.insert(idle.end(), this);
+  m_idle_since_us = EventLoop::NowUs();
+  m_timer.Start(m_listener.m_limits.idle_timeout);
+}
+
+void DownstreamConnection::EndIdle() {
+  if (!m_idle_entry) return;
+  m_listener.m_idle.erase(*m_idle_entry);
+  m_idle_entry.reset();
+}
+
+bool DownstreamConnection::CloseIfIdle(std::chrono::milliseconds min_idle) {
+  std::chrono::microseconds idle(EventLoop::NowUs() - m_idle_since_us);
+  if (!m_idle_entry || idle < min_idle) return false;
+  // A request may have arrived that the loop has not read yet.
+  char byte = 0;
+  if (recv(bufferevent_getfd(m_bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) return false;
+  Close();
+  return true;
+}
+
 // Frees the connection later from the loop, since it may be running one of its own callbacks.
 void DownstreamConnection::Close() {
   if (m_state == State::kClosed) return;
   m_state = State::kClosed;
   m_timer.Cancel();
+  EndIdle();
   EndPacing();
   bufferevent_disable(m_bev, EV_READ | EV_WRITE);
   bufferevent_setcb(m_bev, nullptr, nullptr, nullptr, nullptr);
--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -4,7 +4,11 @@
 
 #include <event2/util.h>
 
+#include <chrono>
+#include <cstdint>
+#include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "downstream_request.h"
@@ -27,8 +31,10 @@
 
   // The output buffer, to which the answer of the current request is written.
   evbuffer* output();
-  // Whether the connection waits for the first byte of a request.
-  bool is_idle() const { return m_state == State::kReading && !m_has_first_byte; }
+  // Closes the connection, unless it is in use: a byte of a request has arrived and is perhaps
+  // still unread, a request is being answered, or the last use is less than `min_idle` ago. Returns
+  // whether it was closed.
+  bool CloseIfIdle(std::chrono::milliseconds min_idle);
   bool will_close() const { return m_closes_after_answer; }
   void CloseAfterAnswer() { m_closes_after_answer = true; }
   // Must be called when all bytes of the answer have been added to the output.
@@ -59,6 +65,8 @@
   void OnAnswerWritten();
   void EndPacing();
   void Linger();
+  void StartIdle();
+  void EndIdle();
   void Close();
   void StartReadTimer();
 
@@ -69,6 +77,10 @@
   HttpReader m_reader;
   HttpHead m_head;
   Timer m_timer;
+  // Position among the idle connections of the listener; not set while a request is read, processed
+  // or answered.
+  std::optional<std::list<DownstreamConnection*>::iterator> m_idle_entry;
+  int64_t m_idle_since_us = 0;
   State m_state = State::kReading;
   DownstreamRequest* m_request = nullptr;
   int64_t m_paced_bytes = 0;           // Unwritten bytes of a large answer; 0: not paced.
--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -22,7 +22,19 @@
 // Length of the accept queue. When it is full the kernel drops the SYN, and the client repeats it
 // only after a second.
 constexpr int kBacklog = 1024;
-constexpr int64_t kFailureLogPeriodUs = 1'000'000;
+constexpr int64_t kLogPeriodUs = 1'000'000;
+// Time until accept() is tried again after it has failed, and until connections that were in use a
+// moment ago are checked again.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
+// The first request of a new connection, or the next one of a caller that was just answered, is
+// likely to be on its way for this time.
+constexpr std::chrono::milliseconds kMinIdle{100};
+// Share of the maximum number of connections above which connections are closed after an answer.
+// Callers then open new ones, and none of their requests meets the closing of an idle connection.
+constexpr double kCloseAfterAnswerShare = 0.75;
+// Share of the maximum that is closed at a time if connections are idle, and its lowest value.
+constexpr size_t kConnectionsPerIdleClose = 64;
+constexpr size_t kMinIdleCloses = 4;
 
 std::string_view AuthorityOf(std::string_view target) {
   size_t scheme = target.find("://");
@@ -50,6 +62,10 @@
   return LowerCase(authority.substr(0, authority.find(':')));
 }
 
+bool IsLackOfDescriptors(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
 uint16_t BoundPort(evutil_socket_t fd) {
   sockaddr_in address{};
   socklen_t length = sizeof(address);
@@ -202,7 +218,10 @@
 }
 
 HttpListener::HttpListener(EventLoop& loop, Handler handler)
-    : m_loop(loop), m_handler(std::move(handler)), m_deferred(loop) {}
+    : m_loop(loop),
+      m_handler(std::move(handler)),
+      m_deferred(loop),
+      m_accept_timer(loop, [this] { RetryAccepting(); }) {}
 
 HttpListener::~HttpListener() = default;
 
@@ -224,10 +243,8 @@
     return tl::make_unexpected("cannot listen on " + ip + ":" + std::to_string(port) + ": " +
                                std::strerror(errno));
   }
-  // While the process has no free file descriptors, accept() fails immediately and repeatedly. The
-  // listener stays active and retries on the next event.
   evconnlistener_set_error_cb(m_listener.get(), [](evconnlistener*, void* arg) {
-    static_cast<HttpListener*>(arg)->OnAcceptFailed();
+    static_cast<HttpListener*>(arg)->OnAcceptFailed(errno);
   });
   m_port = BoundPort(evconnlistener_get_fd(m_listener.get()));
   return {};
@@ -235,31 +252,97 @@
 
 void HttpListener::StopAccepting() { m_listener.reset(); }
 
+void HttpListener::SetMaxConnections(size_t connections) {
+  m_max_connections = connections;
+  UpdateAccepting();
+}
+
+bool HttpListener::has_room() const {
+  return !m_idle.empty() || (!is_full() && !m_is_accept_paused);
+}
+
+bool HttpListener::ClosesAfterAnswer() const {
+  double limit = kCloseAfterAnswerShare * static_cast<double>(m_max_connections);
+  return m_closes_after_answers || static_cast<double>(m_connections.size()) > limit;
+}
+
+// Closes a share of the connections, so that this is done once for many new ones.
+void HttpListener::CloseLongestIdle() {
+  size_t count = std::max(kMinIdleCloses, m_connections.size() / kConnectionsPerIdleClose);
+  size_t closed = 0;
+  for (auto it = m_idle.begin(); it != m_idle.end() && closed < count;) {
+    DownstreamConnection* connection = *it++;
+    if (connection->CloseIfIdle(kMinIdle)) ++closed;
+  }
+  m_idle_closed += closed;
+}
+
+// A connection counts until it has been freed, since it holds its descriptor until then.
+void HttpListener::UpdateAccepting() {
+  if (m_listener == nullptr) return;
+  if (is_full()) CloseLongestIdle();
+  if (!is_full() && !m_is_accept_paused) {
+    evconnlistener_enable(m_listener.get());
+    return;
+  }
+  evconnlistener_disable(m_listener.get());
+  if (!m_idle.empty() && !m_accept_timer.IsPending()) m_accept_timer.Start(kAcceptRetryDelay);
+}
+
 void HttpListener::Accept(evutil_socket_t fd) {
   auto connection = std::make_unique<DownstreamConnection>(*this, fd);
   DownstreamConnection* raw = connection.get();
   m_connections[raw] = std::move(connection);
+  if (is_full()) OnFull();
+}
+
+// Logged once a second at most: callers that open a connection for each request keep a port full.
+void HttpListener::OnFull() {
+  int64_t now_us = EventLoop::NowUs();
+  if (m_full_log_us == 0 || now_us - m_full_log_us >= kLogPeriodUs) {
+    m_full_log_us = now_us;
+    LOG(WARNING) << "event=connections_full port=" << m_port
+                 << " connections=" << m_connections.size() << " idle=" << m_idle.size()
+                 << " idle_closed=" << m_idle_closed;
+  }
+  UpdateAccepting();
 }
 
-void HttpListener::OnAcceptFailed() {
-  std::string error = std::strerror(errno);
+// accept() would fail again immediately, in a loop that leaves no processor time for other work.
+void HttpListener::OnAcceptFailed(int error) {
   ++m_accept_failures;
+  m_is_accept_paused = true;
+  LogAcceptFailure(error);
+  if (IsLackOfDescriptors(error)) CloseLongestIdle();
+  UpdateAccepting();
+  m_accept_timer.Start(kAcceptRetryDelay);
+}
+
+void HttpListener::RetryAccepting() {
+  m_is_accept_paused = false;
+  UpdateAccepting();
+}
+
+void HttpListener::LogAcceptFailure(int error) {
   int64_t now_us = EventLoop::NowUs();
-  if (m_failure_log_us != 0 && now_us - m_failure_log_us < kFailureLogPeriodUs) return;
+  if (m_failure_log_us != 0 && now_us - m_failure_log_us < kLogPeriodUs) return;
   m_failure_log_us = now_us;
   LOG(ERROR) << "event=accept_failed port=" << m_port << " failures=" << m_accept_failures
-             << " connections=" << m_connections.size() << " idle=" << IdleConnections()
-             << " error=\"" << error << "\"";
+             << " connections=" << m_connections.size() << " idle=" << m_idle.size() << " error=\""
+             << std::strerror(error) << "\"";
 }
 
-size_t HttpListener::IdleConnections() const {
-  return static_cast<size_t>(
-      std::count_if(m_connections.begin(), m_connections.end(),
-                    [](const auto& entry) { return entry.first->is_idle(); }));
+// The idle connection may make room for a new one. Deferred, since it is running a callback.
+void HttpListener::OnConnectionIdle() {
+  if (is_full()) m_deferred.Post([this] { UpdateAccepting(); });
 }
 
 void HttpListener::Remove(DownstreamConnection& connection) {
-  m_deferred.Post([this, raw = &connection] { m_connections.erase(raw); });
+  m_deferred.Post([this, raw = &connection] {
+    bool was_full = is_full();
+    m_connections.erase(raw);
+    if (was_full) UpdateAccepting();
+  });
 }
 
 }  // namespace guavatrail
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -153,18 +154,32 @@
   void SetPacer(LinkPacer& pacer) { m_pacer = &pacer; }
   // Closes the listening socket; existing connections stay open.
   void StopAccepting();
+  // From now on keeps at most `connections` open. Near the limit, a connection is closed after its
+  // next answer; at the limit, idle connections are closed to make room for new ones, and if none
+  // is idle, new ones wait until a connection ends.
+  void SetMaxConnections(size_t connections);
 
+  // Whether a new connection can be accepted now or after an idle one has been closed.
+  bool has_room() const;
   uint16_t port() const { return m_port; }
   size_t connections() const { return m_connections.size(); }
+  size_t idle_connections() const { return m_idle.size(); }
   // Number of times that accept() has failed, mostly for lack of file descriptors.
   uint64_t accept_failures() const { return m_accept_failures; }
 
  private:
   friend class DownstreamConnection;
   void Accept(evutil_socket_t fd);
-  void OnAcceptFailed();
+  void OnAcceptFailed(int error);
+  void LogAcceptFailure(int error);
+  void RetryAccepting();
+  void OnFull();
   void Remove(DownstreamConnection& connection);
-  size_t IdleConnections() const;
+  void OnConnectionIdle();
+  bool is_full() const { return m_connections.size() >= m_max_connections; }
+  bool ClosesAfterAnswer() const;
+  void CloseLongestIdle();
+  void UpdateAccepting();
 
   struct ListenerDeleter {
     void operator()(evconnlistener* listener) const;
@@ -177,10 +192,17 @@
   bool m_closes_after_answers = false;
   DeferredQueue m_deferred;
   std::unique_ptr<evconnlistener, ListenerDeleter> m_listener;
+  std::list<DownstreamConnection*> m_idle;  // Longest idle first.
   std::map<DownstreamConnection*, std::unique_ptr<DownstreamConnection>> m_connections;
   uint16_t m_port = 0;
+  size_t m_max_connections = SIZE_MAX;
+  bool m_is_accept_paused = false;  // accept() has failed; it is tried again later.
+  Timer m_accept_timer;
   uint64_t m_accept_failures = 0;
-  int64_t m_failure_log_us = 0;  // Time of the last log line about them.
+  uint64_t m_idle_closed = 0;  // Idle connections that were closed to make room.
+  // Times of the last log lines about failures and about the limit.
+  int64_t m_failure_log_us = 0;
+  int64_t m_full_log_us = 0;
 };
 
 }  // namespace guavatrail
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -8,6 +8,7 @@
 #include <cinttypes>
 
 #include "deadline.h"
+#include "descriptor_budget.h"
 #include "entry_call.h"
 
 namespace guavatrail {
@@ -73,6 +74,8 @@
       m_protocol(std::move(protocol)),
       m_random(random),
       m_deferred(loop) {
+  DescriptorBudget budget = MakeDescriptorBudget(settings.listen.max_descriptors);
+  m_listener.SetMaxConnections(budget.caller_connections);
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
 
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -61,6 +61,8 @@
   void SetLimits(const CallerLimits& limits);
 
   uint16_t port() const { return m_listener.port(); }
+  // Whether the caller port can take a new connection.
+  bool has_room() const { return m_listener.has_room(); }
   size_t calls() const { return m_calls.size(); }
   // Whether every request received has been answered.
   bool is_idle() const { return m_calls.empty() && m_replies.empty(); }
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "deadline.h"
+#include "descriptor_budget.h"
 #include "placement.h"
 #include "serving_call.h"
 
@@ -77,6 +78,8 @@
       m_queue_timer(loop, [this] { ExpireQueued(); }),
       m_gate_timer(loop, [this] { RefuseQueue(); }),
       m_deferred(loop) {
+  DescriptorBudget budget = MakeDescriptorBudget(settings.listen.max_descriptors);
+  m_listener.SetMaxConnections(budget.peer_connections);
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -84,6 +84,9 @@
       GUAVATRAIL_INTEGER(listen, admin_port, true, 1, kMaxPort, "HTTP port for operators."),
       GUAVATRAIL_INTEGER(listen, ready_port, false, 0, kMaxPort,
                          "HTTP port for the platform's readiness probes; 0: none."),
+      GUAVATRAIL_INTEGER(listen, max_descriptors, false, 0, 1'000'000,
+                         "File descriptors that the process may use, of which the connections of "
+                         "each port get a share; 0: as many as the system allows."),
       GUAVATRAIL_REAL(
           listen, link_mbps, false, 0.0, 1e6,
           "Bandwidth of the VM's link in Mbit/s, for pacing large answers; 0: unknown."),
--- a/src/settings.h
+++ b/src/settings.h
@@ -29,6 +29,7 @@
   double link_mbps = 0;  // Bandwidth of the VM's link; 0: unknown, answers are not paced.
   // Port for the platform's readiness probes; 0: none.
   int64_t ready_port = 0;
+  int64_t max_descriptors = 0;  // File descriptors of the process; 0: as the system limits them.
   // "IP:PORT", in place of ip and the port of that name; empty: not used.
   std::string caller_address;
   std::string control_address;
