--- /dev/null
+++ b/src/crash_blame.cc
@@ -0,0 +1,166 @@
+#include "crash_blame.h"
+
+#include <algorithm>
+
+namespace guavatrail {
+
+namespace {
+
+constexpr int64_t kUsPerMs = 1000;
+// A suspect is forgotten this long after the last crash, or after its quarantine.
+constexpr int64_t kSuspicionUs = 600'000'000;
+// A quarantine ends, since a new version of the server may bear the request. Each crash after that
+// doubles it.
+constexpr int64_t kQuarantineUs = 300'000'000;
+constexpr int64_t kMaxQuarantineUs = 3'600'000'000;
+// A request that was answered is not blamed for this time, so that late news of earlier crashes
+// does not count against it.
+constexpr int64_t kClearedUs = 60'000'000;
+// Crashes remembered of a suspect.
+constexpr size_t kMaxCrashes = 8;
+
+}  // namespace
+
+CrashBlame::Entry& CrashBlame::EntryOf(std::string_view fingerprint, int64_t now_us) {
+  auto it = m_entries.find(fingerprint);
+  if (it == m_entries.end()) {
+    if (m_entries.size() >= kMaxSuspects) ForgetLeastSuspected();
+    it = m_entries.emplace(std::string(fingerprint), Entry{.forget_us = now_us + kSuspicionUs})
+             .first;
+  }
+  return it->second;
+}
+
+void CrashBlame::ForgetLeastSuspected() {
+  auto rank = [](const Entries::value_type& item) {
+    return std::make_pair(item.second.crashes.size(), item.second.forget_us);
+  };
+  auto least = std::min_element(m_entries.begin(), m_entries.end(),
+                                [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  if (least != m_entries.end()) m_entries.erase(least);
+}
+
+// Returns whether the crash is new. Only then the quarantine begins or grows, so that nodes that
+// tell each other of the same crashes do not prolong it.
+bool CrashBlame::AddCrash(Entry& entry, std::string_view lifetime, int64_t now_us) {
+  std::vector<std::string>& crashes = entry.crashes;
+  auto at = std::lower_bound(crashes.begin(), crashes.end(), lifetime);
+  if (at != crashes.end() && *at == lifetime) return false;
+  if (crashes.size() >= kMaxCrashes) return false;
+  crashes.insert(at, std::string(lifetime));
+  entry.forget_us = now_us + kSuspicionUs;
+  if (crashes.size() < kCrashesToQuarantine) return true;
+  size_t doublings = crashes.size() - kCrashesToQuarantine;
+  SetQuarantineEnd(entry, now_us + std::min(kMaxQuarantineUs, kQuarantineUs << doublings));
+  return true;
+}
+
+void CrashBlame::SetQuarantineEnd(Entry& entry, int64_t end_us) {
+  entry.quarantine_end_us = std::max(entry.quarantine_end_us, end_us);
+  entry.forget_us = std::max(entry.forget_us, entry.quarantine_end_us + kSuspicionUs);
+}
+
+void CrashBlame::Clear(Entry& entry, int64_t now_us) {
+  entry.crashes.clear();
+  entry.quarantine_end_us = 0;
+  entry.cleared_until_us = now_us + kClearedUs;
+  entry.forget_us = entry.cleared_until_us;
+}
+
+std::vector<std::string> CrashBlame::OnCrash(std::string_view lifetime,
+                                             std::span<const std::string> fingerprints,
+                                             int64_t now_us) {
+  Expire(now_us);
+  auto crashes_of = [&](std::string_view fingerprint) -> size_t {
+    auto it = m_entries.find(fingerprint);
+    return it == m_entries.end() ? 0 : it->second.crashes.size();
+  };
+  size_t most = 0;
+  for (const std::string& fingerprint : fingerprints) {
+    most = std::max(most, crashes_of(fingerprint));
+  }
+  std::vector<std::string> blamed;
+  for (const std::string& fingerprint : fingerprints) {
+    auto it = m_entries.find(fingerprint);
+    bool is_cleared = it != m_entries.end() && it->second.cleared_until_us > now_us;
+    if (is_cleared || crashes_of(fingerprint) < most) continue;
+    blamed.push_back(fingerprint);
+  }
+  for (const std::string& fingerprint : blamed) {
+    AddCrash(EntryOf(fingerprint, now_us), lifetime, now_us);
+  }
+  return blamed;
+}
+
+bool CrashBlame::OnAnswered(std::string_view fingerprint, int64_t now_us) {
+  auto it = m_entries.find(fingerprint);
+  if (it == m_entries.end() || it->second.cleared_until_us > now_us) return false;
+  Clear(it->second, now_us);
+  return true;
+}
+
+bool CrashBlame::MergeOne(const CrashSuspect& suspect, int64_t now_us) {
+  Entry& entry = EntryOf(suspect.fingerprint, now_us);
+  if (entry.cleared_until_us > now_us) return false;
+  if (suspect.is_cleared) {
+    Clear(entry, now_us);
+    return true;
+  }
+  bool was_quarantined = entry.quarantine_end_us > now_us;
+  bool is_new = false;
+  for (const std::string& lifetime : suspect.crashes) is_new |= AddCrash(entry, lifetime, now_us);
+  if (suspect.quarantine_left_ms > 0) {
+    SetQuarantineEnd(entry,
+                     now_us + std::min(suspect.quarantine_left_ms * kUsPerMs, kMaxQuarantineUs));
+  }
+  return is_new || was_quarantined != (entry.quarantine_end_us > now_us);
+}
+
+std::vector<std::string> CrashBlame::Merge(std::span<const CrashSuspect> suspects, int64_t now_us) {
+  Expire(now_us);
+  std::vector<std::string> changed;
+  for (const CrashSuspect& suspect : suspects) {
+    if (MergeOne(suspect, now_us)) changed.push_back(suspect.fingerprint);
+  }
+  return changed;
+}
+
+void CrashBlame::Expire(int64_t now_us) {
+  std::erase_if(m_entries, [&](const auto& item) { return item.second.forget_us <= now_us; });
+}
+
+std::optional<int64_t> CrashBlame::QuarantineLeftMs(std::string_view fingerprint,
+                                                    int64_t now_us) const {
+  auto it = m_entries.find(fingerprint);
+  if (it == m_entries.end() || it->second.quarantine_end_us <= now_us) return std::nullopt;
+  return (it->second.quarantine_end_us - now_us) / kUsPerMs + 1;
+}
+
+size_t CrashBlame::QuarantinedCount(int64_t now_us) const {
+  return static_cast<size_t>(
+      std::count_if(m_entries.begin(), m_entries.end(),
+                    [&](const auto& item) { return item.second.quarantine_end_us > now_us; }));
+}
+
+CrashSuspect CrashBlame::SuspectOf(const Entries::value_type& item, int64_t now_us) {
+  const Entry& entry = item.second;
+  return {
+      .fingerprint = item.first,
+      .crashes = entry.crashes,
+      .is_cleared = entry.cleared_until_us > now_us,
+      .quarantine_left_ms = std::max<int64_t>(0, (entry.quarantine_end_us - now_us) / kUsPerMs)};
+}
+
+std::vector<CrashSuspect> CrashBlame::Suspects(int64_t now_us) const {
+  std::vector<CrashSuspect> suspects;
+  for (const auto& item : m_entries) suspects.push_back(SuspectOf(item, now_us));
+  return suspects;
+}
+
+std::optional<CrashSuspect> CrashBlame::Find(std::string_view fingerprint, int64_t now_us) const {
+  auto it = m_entries.find(fingerprint);
+  if (it == m_entries.end()) return std::nullopt;
+  return SuspectOf(*it, now_us);
+}
+
+}  // namespace guavatrail
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -10,6 +10,7 @@
 #include "deadline.h"
 #include "descriptor_budget.h"
 #include "entry_call.h"
+#include "request_fingerprint.h"
 
 namespace guavatrail {
 
@@ -125,6 +126,20 @@
   m_replies.Reply(std::move(request), status, headers);
 }
 
+void EntryProxy::RefuseQuarantined(std::unique_ptr<DownstreamRequest> request, int64_t left_ms) {
+  HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun},
+                        {kReasonHeader, std::string(kReasonQuarantined)}};
+  SetRetryAfterFor(headers, left_ms);
+  FilterNodeHeaders(headers);
+  EchoRequestId(*request, headers);
+  LOG(INFO) << "event=request_refused id=" << CallerRequestId(*request)
+            << " path=" << request->path() << " status=" << kHttpServiceUnavailable
+            << " reason=" << kReasonQuarantined << " fingerprint=" << FingerprintOf(*request)
+            << " quarantine_left_ms=" << left_ms;
+  m_metrics.GetCounter("entry_refused_total", "reason=\"quarantined\"").Add();
+  m_replies.Reply(std::move(request), kHttpServiceUnavailable, headers);
+}
+
 void EntryProxy::OnRequest(std::unique_ptr<DownstreamRequest> request) {
   if (m_draining) {
     RefuseRequest(std::move(request), kHttpServiceUnavailable, kReasonDraining);
@@ -154,6 +169,10 @@
     }
     deadline_ms = std::min(deadline_ms, *remaining);
   }
+  if (auto left_ms = QuarantineLeftMs(m_blame, *request)) {
+    RefuseQuarantined(std::move(request), *left_ms);
+    return;
+  }
   int64_t deadline_us = request->arrival_us() + deadline_ms * kUsPerMs;
   StartCall(std::move(request), *route, *kind, table->version(), deadline_us);
 }
@@ -204,7 +223,8 @@
     attempt.reached_server = HasReachedServer(head);
     std::string_view reason = HeaderValue(head.headers, kReasonHeader);
     call.last_reason = reason.empty() ? "refused" : reason;
-    if (reason == kReasonOverload) ++call.queue_refusals;
+    // No other node would run a request in quarantine either.
+    if (reason == kReasonOverload || reason == kReasonQuarantined) ++call.queue_refusals;
     int64_t wait_ms = HeaderNumber(head.headers, kWaitMsHeader);
     if (wait_ms > 0) call.busy_nodes.emplace_back(wait_ms, attempt.node);
     // The order may return to this node under a new key, unless the node is draining.
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -11,6 +11,7 @@
 
 #include "answer_size_estimator.h"
 #include "burn.h"
+#include "crash_blame.h"
 #include "downstream_request.h"
 #include "event_loop.h"
 #include "external_protocol.h"
@@ -59,6 +60,8 @@
   void CloseAfterAnswers() { m_listener.CloseAfterAnswers(); }
   void SetPacer(LinkPacer& pacer) { m_listener.SetPacer(pacer); }
   void SetLimits(const CallerLimits& limits);
+  // From now on refuses requests that `blame` has in quarantine as not run.
+  void SetCrashBlame(const CrashBlame& blame) { m_blame = &blame; }
 
   uint16_t port() const { return m_listener.port(); }
   // Whether the caller port can take a new connection.
@@ -72,6 +75,8 @@
   void OnRequest(std::unique_ptr<DownstreamRequest> request);
   void RefuseRequest(std::unique_ptr<DownstreamRequest> request, int status,
                      std::string_view reason);
+  void RefuseQuarantined(std::unique_ptr<DownstreamRequest> request, int64_t left_ms);
+  void SetRetryAfterFor(HeaderList& headers, int64_t retry_after_ms) const;
   void StartCall(std::unique_ptr<DownstreamRequest> request, const Route& route,
                  const WorkKind& kind, uint64_t version, int64_t deadline_us);
   void OnDownstreamEnd(EntryCall& call, bool written);
@@ -136,6 +141,7 @@
   ShareChooser m_shares;
   AnswerSizeEstimator m_answer_sizes;
   RandomSource& m_random;
+  const CrashBlame* m_blame = nullptr;
   bool m_draining = false;
   std::function<void()> m_on_idle;
   DeferredQueue m_deferred;
--- a/src/entry_proxy_answers.cc
+++ b/src/entry_proxy_answers.cc
@@ -34,13 +34,17 @@
   }
 }
 
-void EntryProxy::AnswerNotRun(EntryCall& call, int64_t retry_after_ms) {
-  HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}};
+void EntryProxy::SetRetryAfterFor(HeaderList& headers, int64_t retry_after_ms) const {
   if (m_protocol.has_fractional_retry_after) {
     SetFractionalRetryAfter(headers, retry_after_ms);
   } else {
     SetRetryAfter(headers, retry_after_ms);
   }
+}
+
+void EntryProxy::AnswerNotRun(EntryCall& call, int64_t retry_after_ms) {
+  HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}};
+  SetRetryAfterFor(headers, retry_after_ms);
   Answer(call, kHttpServiceUnavailable, std::move(headers), CallOutcome::kRefused);
 }
 
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -41,6 +41,8 @@
 inline constexpr char kOrderStatusHeader[] = "X-Guavatrail-Order-Status";
 // The value of Retry-After in milliseconds.
 inline constexpr char kRetryAfterMsHeader[] = "X-Guavatrail-Retry-After-Ms";
+// Name of the node that sends a request of its own to another node.
+inline constexpr char kNodeHeader[] = "X-Guavatrail-Node";
 inline constexpr char kOrderKeyHeader[] = "Idempotency-Key";
 
 // Prefix of the node's internal paths on the peer port, which callers cannot access.
@@ -51,6 +53,8 @@
 inline constexpr char kConfigPath[] = "/guavatrail/v1/config";
 // Endpoint updates; see endpoint_relay.h.
 inline constexpr char kEndpointsPath[] = "/guavatrail/v1/endpoints";
+// Requests that are suspected of crashing servers; see suspect_relay.h.
+inline constexpr char kSuspectsPath[] = "/guavatrail/v1/suspects";
 inline constexpr std::string_view kProbePathPrefix = "/guavatrail/v1/request/";
 
 inline constexpr char kOutcomeAnswered[] = "answered";
@@ -74,6 +78,8 @@
 inline constexpr char kReasonWrongService[] = "wrong_service";
 // The node has no backend server that accepts new work.
 inline constexpr char kReasonNoServer[] = "no_server";
+// The request has crashed several backend servers; see crash_blame.h.
+inline constexpr char kReasonQuarantined[] = "quarantined";
 
 inline constexpr size_t kMaxHeaderBytes = 65'536;
 inline constexpr size_t kMaxRequestBodyBytes = 1'048'576;
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -8,6 +8,7 @@
 #include "deadline.h"
 #include "descriptor_budget.h"
 #include "placement.h"
+#include "request_fingerprint.h"
 #include "serving_call.h"
 
 namespace guavatrail {
@@ -66,6 +67,12 @@
       m_service(settings.node.service),
       m_metrics(metrics),
       m_admission(MakeAdmission(settings)),
+      m_crash_detector(
+          loop, settings.server.ip, static_cast<uint16_t>(settings.server.port),
+          [this](uint64_t id) { return IsRunning(id); },
+          [this](const ServerLifetime& server, const std::vector<std::string>& fingerprints) {
+            OnServerCrashed(server, fingerprints);
+          }),
       m_orders(settings.node.name, incarnation),
       m_pool(loop, {.ip = settings.server.ip,
                     .port = static_cast<uint16_t>(settings.server.port),
@@ -117,16 +124,18 @@
   OnServerStatement(*request);
   const std::string* service = FindHeader(request->headers(), kServiceHeader);
   if (service != nullptr && *service != m_service) {
-    RefuseRequest(std::move(request), kReasonWrongService);
+    RefuseRequest(std::move(request), kReasonWrongService, kDrainRetryAfterMs);
     return;
   }
   WorkTag work = WorkOf(*request);
   if (work.mode == RunMode::kKeyed) {
     OnOrder(std::move(request), work);
   } else if (m_draining) {
-    RefuseRequest(std::move(request), kReasonDraining);
+    RefuseRequest(std::move(request), kReasonDraining, kDrainRetryAfterMs);
   } else if (!m_gate.is_open) {
-    RefuseRequest(std::move(request), m_gate.reason);
+    RefuseRequest(std::move(request), m_gate.reason, kDrainRetryAfterMs);
+  } else if (auto left_ms = QuarantineLeftMs(m_blame, *request)) {
+    RefuseRequest(std::move(request), kReasonQuarantined, *left_ms);
   } else {
     Admit(std::move(request), work, 0);
   }
@@ -337,6 +346,8 @@
 
 void ServingProxy::OnDone(Call& call, ExchangeResult result) {
   RecordServerResult(call, result);
+  if (result == ExchangeResult::kBroken) OnBrokenOff(call);
+  if (result == ExchangeResult::kComplete) OnServerAnswer(call);
   if (!call.refusal.empty()) {
     OnServerRefusal(call);
     return;
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -13,6 +13,8 @@
 #include "admission.h"
 #include "answer_size_estimator.h"
 #include "connection_pool.h"
+#include "crash_blame.h"
+#include "crash_detector.h"
 #include "downstream_request.h"
 #include "event_loop.h"
 #include "external_protocol.h"
@@ -71,6 +73,11 @@
     m_listener.SetPacer(pacer);
   }
   void SetServerObserver(ServerObserver observer) { m_observer = std::move(observer); }
+  // From now on records in `blame` which requests are running when the backend server crashes and
+  // which are answered, calls `on_change` with the fingerprints concerned, and refuses requests in
+  // quarantine as not run. `blame` must outlive the proxy.
+  using SuspectObserver = std::function<void(const std::vector<std::string>& fingerprints)>;
+  void SetCrashBlame(CrashBlame& blame, SuspectObserver on_change);
 
   uint16_t port() const { return m_listener.port(); }
   size_t calls() const { return m_calls.size(); }
@@ -89,7 +96,13 @@
 
   void OnOrder(std::unique_ptr<DownstreamRequest> request, const WorkTag& work);
   bool CancelQueuedOrder(uint64_t serial);
-  void RefuseRequest(std::unique_ptr<DownstreamRequest> request, std::string_view reason);
+  void RefuseRequest(std::unique_ptr<DownstreamRequest> request, std::string_view reason,
+                     int64_t retry_after_ms);
+
+  void OnBrokenOff(const Call& call);
+  bool IsRunning(uint64_t id) const;
+  void OnServerCrashed(const ServerLifetime& server, const std::vector<std::string>& fingerprints);
+  void OnServerAnswer(const Call& call);
 
   void Admit(std::unique_ptr<DownstreamRequest> request, const WorkTag& work, uint64_t serial);
   std::optional<int64_t> LinkWaitMs(const Call& call, bool is_offer) const;
@@ -153,6 +166,9 @@
   Metrics& m_metrics;
   AdmissionPolicy m_admission;
   FailureRate m_failures;  // Failure rate of the backend server.
+  CrashBlame* m_blame = nullptr;
+  SuspectObserver m_on_suspects_changed;
+  CrashDetector m_crash_detector;
   KeyedOrders m_orders;
   ConnectionPool m_pool;
   HttpListener m_listener;
--- /dev/null
+++ b/src/serving_proxy_crashes.cc
@@ -0,0 +1,53 @@
+// The part of ServingProxy that finds out which requests crash the backend server.
+#include <glog/logging.h>
+
+#include "request_fingerprint.h"
+#include "serving_call.h"
+
+namespace guavatrail {
+
+void ServingProxy::SetCrashBlame(CrashBlame& blame, SuspectObserver on_change) {
+  m_blame = &blame;
+  m_on_suspects_changed = std::move(on_change);
+}
+
+bool ServingProxy::IsRunning(uint64_t id) const {
+  auto it = m_calls.find(id);
+  return it != m_calls.end() && it->second->phase == Call::Phase::kRunning;
+}
+
+// A request of which no byte was sent cannot have crashed the server.
+void ServingProxy::OnBrokenOff(const Call& call) {
+  if (m_blame == nullptr || m_crash_detector.is_checking() || call.server != m_gate.server) return;
+  std::vector<RunningRequest> running;
+  for (const auto& [id, other] : m_calls) {
+    bool is_sent = other->exchange != nullptr && other->exchange->may_have_been_sent();
+    if (other->phase != Call::Phase::kRunning || !is_sent || other->server != call.server) continue;
+    running.push_back({id, FingerprintOf(*other->downstream)});
+  }
+  m_crash_detector.OnBrokenOff(call.server, std::move(running));
+}
+
+void ServingProxy::OnServerCrashed(const ServerLifetime& server,
+                                   const std::vector<std::string>& fingerprints) {
+  std::string lifetime = std::to_string(server.started_ms) + "/" + server.id;
+  std::vector<std::string> blamed = m_blame->OnCrash(lifetime, fingerprints, EventLoop::NowUs());
+  LOG(WARNING) << "event=crash_blamed server=" << server.id << " running=" << fingerprints.size()
+               << " blamed=" << blamed.size() << " suspects=" << m_blame->size();
+  m_metrics.GetCounter("server_crashes_total").Add();
+  if (!blamed.empty()) m_on_suspects_changed(blamed);
+  if (server == m_gate.server && m_observer.on_unreachable) m_observer.on_unreachable(server.id);
+}
+
+// A server that answers has survived the request. Its own failures do not count as answers, since a
+// server may report one while it goes down.
+void ServingProxy::OnServerAnswer(const Call& call) {
+  constexpr int kFirstServerError = 500;
+  m_crash_detector.OnAnswered(call.id);
+  if (m_blame == nullptr || m_blame->empty()) return;
+  if (!call.refusal.empty() || call.server_status >= kFirstServerError) return;
+  std::string fingerprint = FingerprintOf(*call.downstream);
+  if (m_blame->OnAnswered(fingerprint, EventLoop::NowUs())) m_on_suspects_changed({fingerprint});
+}
+
+}  // namespace guavatrail
--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -54,14 +54,14 @@
 }
 
 void ServingProxy::RefuseRequest(std::unique_ptr<DownstreamRequest> request,
-                                 std::string_view reason) {
+                                 std::string_view reason, int64_t retry_after_ms) {
   HeaderList headers = NodeHeaders(kOutcomeNotRun, RequestIdOf(*request));
   SetHeader(headers, kReasonHeader, reason);
-  SetRetryAfter(headers, kDrainRetryAfterMs);
+  SetRetryAfter(headers, retry_after_ms);
   LOG(INFO) << "event=served id=" << HeaderValue(request->headers(), m_protocol.request_id_header)
             << " try_id=" << RequestIdOf(*request) << " outcome=" << kOutcomeNotRun
             << " reason=" << reason << " server=" << m_gate.server.id
-            << " gate_open=" << m_gate.is_open << " retry_after_ms=" << kDrainRetryAfterMs;
+            << " gate_open=" << m_gate.is_open << " retry_after_ms=" << retry_after_ms;
   m_metrics.GetCounter("serving_refused_total", "reason=\"" + std::string(reason) + "\"").Add();
   m_replies.Reply(std::move(request), kHttpServiceUnavailable, headers);
 }
--- a/src/serving_proxy_internal_paths.cc
+++ b/src/serving_proxy_internal_paths.cc
@@ -22,7 +22,7 @@
 
 void ServingProxy::IssueKey(std::unique_ptr<DownstreamRequest> request) {
   if (m_draining) {
-    RefuseRequest(std::move(request), kReasonDraining);
+    RefuseRequest(std::move(request), kReasonDraining, kDrainRetryAfterMs);
     return;
   }
   HeaderList headers = NodeHeaders(kOutcomeAnswered, RequestIdOf(*request));
--- /dev/null
+++ b/test/platform/poison_request_test.cc
@@ -0,0 +1,186 @@
+// Guards against a request that crashes every server that runs it and is sent from one server to
+// the next, so that it takes a whole service down (a poison request).
+#include <deque>
+
+#include "mesh_fixture.h"
+
+namespace guavatrail {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kNodes = 5;
+constexpr size_t kCrashesToQuarantine = 3;
+constexpr milliseconds kTimeToCrash{10};
+constexpr milliseconds kTimeToRestart{200};
+const std::string kPoisonPath = "/parts/poison";
+const std::string kPopularPath = "/parts/popular";
+
+class PoisonRequest : public MeshFixture {
+ protected:
+  // A VM whose server crashes when it runs the poison request, and starts again.
+  struct Fragile {
+    Vm* vm = nullptr;
+    int lifetime = 1;
+    size_t poison_runs = 0;
+    std::unique_ptr<Timer> crash_timer;
+    std::unique_ptr<Timer> restart_timer;
+    std::unique_ptr<FakeClient> heartbeat;
+  };
+
+  void SetUp() override {
+    PutConfig(1, "shop");
+    for (size_t i = 0; i < kNodes; ++i) AddFragile();
+    for (Fragile& server : m_servers) ASSERT_TRUE(CallUntil(*server.vm, "/parts/1", kHttpOk));
+    // Each node knows all others.
+    RunFor(m_loop, milliseconds(1'000));
+  }
+
+  void AddFragile() {
+    Fragile& server = m_servers.emplace_back();
+    server.vm = &AddVm("shop");
+    server.vm->handler = [this, &server](FakeConnection& c, const std::string& request) {
+      OnRequest(server, c, request);
+    };
+    server.crash_timer = std::make_unique<Timer>(m_loop, [this, &server] { Crash(server); });
+    server.restart_timer = std::make_unique<Timer>(m_loop, [this, &server] { Restart(server); });
+    SendHeartbeat(*server.vm, IdOf(server), "ready", server.lifetime);
+  }
+
+  void OnRequest(Fragile& server, FakeConnection& c, const std::string& request) {
+    if (request.starts_with("GET " + kPoisonPath)) {
+      ++server.poison_runs;
+      server.crash_timer->Start(kTimeToCrash);
+    } else if (!server.crash_timer->IsPending()) {
+      // A server that is about to crash does not answer.
+      c.Send(ServerAnswer(request, "done"));
+    }
+  }
+
+  void Crash(Fragile& server) {
+    ++m_crashes;
+    server.vm->server->Crash();
+    server.restart_timer->Start(kTimeToRestart);
+  }
+
+  void Restart(Fragile& server) {
+    server.vm->server->Restart();
+    ++server.lifetime;
+    nlohmann::json body = {{"service", "shop"},
+                           {"address", "127.0.0.1:" + std::to_string(server.vm->server->port())},
+                           {"zone", "braga"},
+                           {"slots", 9},
+                           {"state", "ready"},
+                           {"seq", ++server.vm->sequence},
+                           {"born", server.lifetime}};
+    server.heartbeat = Send(server.vm->settings.listen.control_port, "PUT",
+                            "/guavatrail/instances/" + IdOf(server), "", body.dump());
+  }
+
+  static std::string IdOf(const Fragile& server) { return "i-" + server.vm->settings.node.name; }
+
+  size_t PoisonRuns() const {
+    size_t runs = 0;
+    for (const Fragile& server : m_servers) runs += server.poison_runs;
+    return runs;
+  }
+
+  std::unique_ptr<FakeClient> CallPoison(Fragile& entry) {
+    return Call(*entry.vm, kPoisonPath, "poison-" + std::to_string(++m_calls));
+  }
+
+  // Sends the poison request at one entry node after another until `crashes` servers have crashed.
+  void CrashServers(size_t crashes) {
+    for (size_t i = 0; m_crashes < crashes && i < 100; ++i) {
+      CallPoison(m_servers[i % kNodes]);
+      RunFor(m_loop, milliseconds(20));
+    }
+    ASSERT_GE(m_crashes, crashes);
+    // All servers are back.
+    RunFor(m_loop, 2 * kTimeToRestart);
+  }
+
+  std::deque<Fragile> m_servers;
+  size_t m_crashes = 0;
+  int m_calls = 0;
+};
+
+TEST_F(PoisonRequest, ReachesNoServerOnceItHasCrashedThree) {
+  CrashServers(kCrashesToQuarantine);
+  size_t before = PoisonRuns();
+  for (int i = 0; i < 4; ++i) {
+    for (Fragile& entry : m_servers) {
+      auto answer = CallPoison(entry);
+      EXPECT_EQ(answer->status(), kHttpServiceUnavailable);
+      EXPECT_GT(std::stod(answer->header("Retry-After")), 60);
+    }
+  }
+  EXPECT_EQ(PoisonRuns(), before);
+  for (Fragile& entry : m_servers) {
+    EXPECT_EQ(Call(*entry.vm, "/parts/2", "innocent")->status(), kHttpOk);
+  }
+}
+
+// Requests that were running at the crashes but have been answered by a server are not blamed.
+TEST_F(PoisonRequest, RequestsThatRunBesideItAreServed) {
+  for (size_t i = 0; m_crashes < kCrashesToQuarantine + 2 && i < 100; ++i) {
+    Fragile& entry = m_servers[i % kNodes];
+    auto poison = Send(entry.vm->settings.listen.caller_port, "GET", kPoisonPath,
+                       CallHeaders("poison-" + std::to_string(i)));
+    std::vector<std::unique_ptr<FakeClient>> popular;
+    for (int k = 0; k < 6; ++k) {
+      popular.push_back(Send(entry.vm->settings.listen.caller_port, "GET", kPopularPath,
+                             CallHeaders("popular-" + std::to_string(6 * i + k))));
+    }
+    RunFor(m_loop, milliseconds(60));
+    if (i >= 30) break;
+  }
+  ASSERT_GE(m_crashes, kCrashesToQuarantine);
+  RunFor(m_loop, 2 * kTimeToRestart);
+  for (Fragile& entry : m_servers) {
+    EXPECT_EQ(Call(*entry.vm, kPopularPath, "popular")->status(), kHttpOk);
+    EXPECT_EQ(CallPoison(entry)->status(), kHttpServiceUnavailable);
+  }
+}
+
+// A node that starts anew asks others, since its predecessor may have known of the quarantine.
+TEST_F(PoisonRequest, RestartedNodesKeepTheQuarantine) {
+  CrashServers(kCrashesToQuarantine);
+  size_t before = PoisonRuns();
+  for (size_t i = 1; i < kNodes; ++i) {
+    m_servers[i].vm->node.reset();
+    StartNode(*m_servers[i].vm);
+  }
+  for (size_t i = 1; i < kNodes; ++i) {
+    ASSERT_TRUE(CallUntil(*m_servers[i].vm, "/parts/3", kHttpOk));
+  }
+  RunFor(m_loop, milliseconds(2'500));
+  for (Fragile& entry : m_servers) {
+    EXPECT_EQ(CallPoison(entry)->status(), kHttpServiceUnavailable);
+  }
+  EXPECT_EQ(PoisonRuns(), before);
+}
+
+// A server that loses answers, or closes connections because it is full, has not crashed.
+TEST_F(PoisonRequest, LostAnswersAreNotBlamedOnTheRequest) {
+  size_t runs = 0;
+  for (Fragile& server : m_servers) {
+    server.vm->handler = [&runs](FakeConnection& c, const std::string& request) {
+      if (request.starts_with("GET /parts/lost")) {
+        ++runs;
+        c.Close();
+      } else {
+        c.Send(ServerAnswer(request, "done"));
+      }
+    };
+  }
+  for (int i = 0; i < 20; ++i) {
+    Call(*m_servers[0].vm, "/parts/lost", "lost-" + std::to_string(i));
+    // A failing server gets no work until its next report.
+    for (Fragile& server : m_servers) SendHeartbeat(*server.vm, IdOf(server), "ready", 1);
+  }
+  EXPECT_GE(runs, 10U);
+}
+
+}  // namespace
+}  // namespace guavatrail
--- a/test/support/fake_server.cc
+++ b/test/support/fake_server.cc
@@ -97,6 +97,14 @@
   if (m_bev != nullptr) bufferevent_write(m_bev, bytes.data(), bytes.size());
 }
 
+void FakeConnection::Reset() {
+  if (m_bev == nullptr) return;
+  linger option{.l_onoff = 1, .l_linger = 0};
+  setsockopt(bufferevent_getfd(m_bev), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+  bufferevent_free(m_bev);
+  m_bev = nullptr;
+}
+
 void FakeConnection::Close() {
   m_closing = true;
   if (m_bev != nullptr && unsent_bytes() == 0) OnWrite(m_bev, this);
@@ -137,25 +145,39 @@
   bufferevent_free(bev);
 }
 
-FakeServer::FakeServer(EventLoop& loop, Handler handler)
+FakeServer::FakeServer(EventLoop& loop, Handler handler, uint16_t port)
     : m_loop(loop), m_handler(std::move(handler)) {
   // As in the programs: a write to a closed connection must fail instead of ending the process.
   std::signal(SIGPIPE, SIG_IGN);
-  sockaddr_in address = Loopback(0);
-  m_listener = evconnlistener_new_bind(loop.base(), &OnAccept, this,
+  Listen(port);
+}
+
+void FakeServer::Listen(uint16_t port) {
+  sockaddr_in address = Loopback(port);
+  m_listener = evconnlistener_new_bind(m_loop.base(), &OnAccept, this,
                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
                                        reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  CHECK(m_listener != nullptr) << "FakeServer: cannot listen on 127.0.0.1";
+  CHECK(m_listener != nullptr) << "FakeServer: cannot listen on 127.0.0.1:" << port;
   m_port = PortOf(evconnlistener_get_fd(m_listener));
 }
 
+void FakeServer::Crash() {
+  evconnlistener_free(m_listener);
+  m_listener = nullptr;
+  for (auto& connection : m_connections) connection->Reset();
+}
+
+void FakeServer::Restart() { Listen(m_port); }
+
 FakeConnection* FakeServer::Find(int number) {
   auto it = std::find_if(m_connections.begin(), m_connections.end(),
                          [number](const auto& c) { return c->number() == number; });
   return it == m_connections.end() ? nullptr : it->get();
 }
 
-FakeServer::~FakeServer() { evconnlistener_free(m_listener); }
+FakeServer::~FakeServer() {
+  if (m_listener != nullptr) evconnlistener_free(m_listener);
+}
 
 void FakeServer::OnAccept(evconnlistener*, int fd, sockaddr*, int, void* arg) {
   auto* self = static_cast<FakeServer*>(arg);
--- a/test/support/fake_server.h
+++ b/test/support/fake_server.h
@@ -26,6 +26,7 @@
   // Closes the connection once all bytes passed to Send have been written.
   void Close();
   void StopReading();
+  void Reset();
   bool peer_closed() const { return m_peer_closed; }
   // Number of bytes passed to Send that the socket has not accepted yet.
   size_t unsent_bytes() const;
@@ -50,9 +51,16 @@
   // Called with each complete request: request line, headers and body.
   using Handler = std::function<void(FakeConnection&, const std::string& request)>;
 
-  FakeServer(EventLoop& loop, Handler handler);
+  // Port 0 selects a free port. A server that is restarted needs one of FreeFixedPort, since an
+  // outgoing connection may occupy any other while it is down.
+  FakeServer(EventLoop& loop, Handler handler, uint16_t port = 0);
   ~FakeServer();
 
+  // Ends as a process does that crashes: resets all connections, and nothing listens at the port
+  // until Restart(). Must not be called by the handler.
+  void Crash();
+  void Restart();
+
   uint16_t port() const { return m_port; }
   int connections() const { return static_cast<int>(m_connections.size()); }
   // Number of complete requests received.
@@ -64,10 +72,11 @@
 
  private:
   static void OnAccept(evconnlistener*, int fd, sockaddr*, int, void* arg);
+  void Listen(uint16_t port);
 
   EventLoop& m_loop;
   Handler m_handler;
-  evconnlistener* m_listener;
+  evconnlistener* m_listener = nullptr;
   uint16_t m_port = 0;
   int m_requests = 0;
   std::list<std::unique_ptr<FakeConnection>> m_connections;
--- a/test/support/mesh_fixture.h
+++ b/test/support/mesh_fixture.h
@@ -40,11 +40,13 @@
     vm.handler = [](FakeConnection& c, const std::string& request) {
       c.Send(ServerAnswer(request, "done"));
     };
-    vm.server =
-        std::make_unique<FakeServer>(m_loop, [&vm](FakeConnection& c, const std::string& request) {
+    vm.server = std::make_unique<FakeServer>(
+        m_loop,
+        [&vm](FakeConnection& c, const std::string& request) {
           vm.requests.push_back(request);
           vm.handler(c, request);
-        });
+        },
+        FreeFixedPort());
     Settings& settings = vm.settings;
     settings.node = {"node-" + std::to_string(m_vms.size()), service, "norte", "braga"};
     settings.listen.ip = "127.0.0.1";
