--- a/test/correctness/serving_node_server_checks_test.cc
+++ b/test/correctness/serving_node_server_checks_test.cc
@@ -5,40 +5,7 @@
 namespace guavatrail {
 namespace {
 
-class ServingNodeServerChecks : public ServingFixture {
- protected:
-  void StartGuarded() {
-    ExternalProtocol protocol;
-    protocol.request_id_header = "X-Id";
-    protocol.expected_server_header = "X-Expected";
-    protocol.not_run_header = "X-Refused";
-    protocol.exposes_node_headers = false;
-    protocol.retries_after_close = false;
-    Settings settings = MakeSettings();
-    settings.node.service = "encomendas";
-    m_proxy = std::make_unique<ServingProxy>(m_loop, settings, kIncarnation, m_metrics, m_random,
-                                             protocol);
-    m_proxy->SetServerObserver(
-        {.on_wrong_server = [this](const std::string& id) { m_wrong_server = id; },
-         .on_unreachable = [this](const std::string& id) { m_unreachable = id; }});
-    ASSERT_TRUE(m_proxy->Listen());
-    m_proxy->OpenGate({.id = "server-1"}, m_slots);
-  }
-
-  static std::string Repeatable(const std::string& id) {
-    return Lookup("t-" + id) + "X-Id: " + id + "\r\n";
-  }
-
-  // Answers the first running request.
-  void AnswerWith(const std::string& bytes) {
-    FakeConnection* connection = m_running.front().connection;
-    m_running.erase(m_running.begin());
-    connection->Send(bytes);
-  }
-
-  std::string m_wrong_server;
-  std::string m_unreachable;
-};
+using ServingNodeServerChecks = GuardedServingFixture;
 
 TEST_F(ServingNodeServerChecks, RequestsCarryTheServerIdAndNoNodeHeaders) {
   StartGuarded();
