--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -254,6 +254,12 @@
 }
 
 void ServingProxy::Run(Call& call) {
+  // The request may have been quarantined while it was queued.
+  if (auto left_ms = QuarantineLeftMs(m_blame, *call.downstream)) {
+    Refuse(call, *left_ms, kReasonQuarantined);
+    Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+    return;
+  }
   call.phase = Call::Phase::kRunning;
   call.start_us = EventLoop::NowUs();
   call.server = m_gate.server;
--- a/src/serving_proxy_crashes.cc
+++ b/src/serving_proxy_crashes.cc
@@ -16,9 +16,11 @@
   return it != m_calls.end() && it->second->phase == Call::Phase::kRunning;
 }
 
-// A request of which no byte was sent cannot have crashed the server.
+// A request of which no byte was sent cannot have crashed the server. A server that is leaving ends
+// by itself and cuts off what is still running.
 void ServingProxy::OnBrokenOff(const Call& call) {
-  if (m_blame == nullptr || m_crash_detector.is_checking() || call.server != m_gate.server) return;
+  if (m_blame == nullptr || m_crash_detector.is_checking()) return;
+  if (call.server != m_gate.server || m_gate.is_leaving) return;
   std::vector<RunningRequest> running;
   for (const auto& [id, other] : m_calls) {
     bool is_sent = other->exchange != nullptr && other->exchange->may_have_been_sent();
--- a/test/support/serving_fixture.h
+++ b/test/support/serving_fixture.h
@@ -19,10 +19,13 @@
   static constexpr uint64_t kIncarnation = 1'700'000'000'000;
 
   ServingFixture()
-      : m_server(m_loop, [this](FakeConnection& c, const std::string& request) {
-          m_running.push_back({&c, request});
-          if (m_answers_immediately) AnswerNext();
-        }) {}
+      : m_server(
+            m_loop,
+            [this](FakeConnection& c, const std::string& request) {
+              m_running.push_back({&c, request});
+              if (m_answers_immediately) AnswerNext();
+            },
+            FreeFixedPort()) {}
 
   Settings MakeSettings() const {
     Settings settings;
