--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -281,10 +281,7 @@
   m_idle_entry.reset();
 }
 
-bool DownstreamConnection::CloseIfIdle(std::chrono::milliseconds min_idle) {
-  std::chrono::microseconds idle(EventLoop::NowUs() - m_idle_since_us);
-  if (!m_idle_entry || idle < min_idle) return false;
-  // A request may have arrived that the loop has not read yet.
+bool DownstreamConnection::CloseIfUnused() {
   char byte = 0;
   if (recv(bufferevent_getfd(m_bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) return false;
   Close();
--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -4,7 +4,6 @@
 
 #include <event2/util.h>
 
-#include <chrono>
 #include <cstdint>
 #include <list>
 #include <memory>
@@ -31,10 +30,11 @@
 
   // The output buffer, to which the answer of the current request is written.
   evbuffer* output();
-  // Closes the connection, unless it is in use: a byte of a request has arrived and is perhaps
-  // still unread, a request is being answered, or the last use is less than `min_idle` ago. Returns
+  // Closes an idle connection, unless a request has arrived on it that is still unread. Returns
   // whether it was closed.
-  bool CloseIfIdle(std::chrono::milliseconds min_idle);
+  bool CloseIfUnused();
+  // Monotonic time since which the connection has been idle.
+  int64_t idle_since_us() const { return m_idle_since_us; }
   bool will_close() const { return m_closes_after_answer; }
   void CloseAfterAnswer() { m_closes_after_answer = true; }
   // Must be called when all bytes of the answer have been added to the output.
--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -269,10 +269,12 @@
 // Closes a share of the connections, so that this is done once for many new ones.
 void HttpListener::CloseLongestIdle() {
   size_t count = std::max(kMinIdleCloses, m_connections.size() / kConnectionsPerIdleClose);
+  int64_t latest_us = EventLoop::NowUs() - std::chrono::microseconds(kMinIdle).count();
   size_t closed = 0;
   for (auto it = m_idle.begin(); it != m_idle.end() && closed < count;) {
     DownstreamConnection* connection = *it++;
-    if (connection->CloseIfIdle(kMinIdle)) ++closed;
+    if (connection->idle_since_us() > latest_us) break;
+    if (connection->CloseIfUnused()) ++closed;
   }
   m_idle_closed += closed;
 }
