--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -16,8 +16,6 @@
 // A request that was answered is not blamed for this time, so that late news of earlier crashes
 // does not count against it.
 constexpr int64_t kClearedUs = 60'000'000;
-// Crashes remembered of a suspect.
-constexpr size_t kMaxCrashes = 8;
 
 }  // namespace
 
--- a/src/crash_blame.h
+++ b/src/crash_blame.h
@@ -31,6 +31,8 @@
   static constexpr size_t kCrashesToQuarantine = 3;
   // Limits the memory: the suspects of the fewest crashes are forgotten first.
   static constexpr size_t kMaxSuspects = 256;
+  // Crashes that are remembered of a suspect.
+  static constexpr size_t kMaxCrashes = 8;
 
   // Records that the server of a lifetime has crashed while it ran the requests with these
   // fingerprints. Returns the fingerprints that are blamed: those of the most earlier crashes.
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -115,9 +115,9 @@
 }
 
 void EntryProxy::RefuseRequest(std::unique_ptr<DownstreamRequest> request, int status,
-                               std::string_view reason) {
+                               std::string_view reason, int64_t retry_after_ms) {
   HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}, {kReasonHeader, std::string(reason)}};
-  if (status == kHttpServiceUnavailable) SetRetryAfter(headers, kNoTableRetryAfterMs);
+  if (status == kHttpServiceUnavailable) SetRetryAfterFor(headers, retry_after_ms);
   FilterNodeHeaders(headers);
   EchoRequestId(*request, headers);
   LOG(INFO) << "event=request_refused id=" << CallerRequestId(*request)
@@ -126,28 +126,15 @@
   m_replies.Reply(std::move(request), status, headers);
 }
 
-void EntryProxy::RefuseQuarantined(std::unique_ptr<DownstreamRequest> request, int64_t left_ms) {
-  HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun},
-                        {kReasonHeader, std::string(kReasonQuarantined)}};
-  SetRetryAfterFor(headers, left_ms);
-  FilterNodeHeaders(headers);
-  EchoRequestId(*request, headers);
-  LOG(INFO) << "event=request_refused id=" << CallerRequestId(*request)
-            << " path=" << request->path() << " status=" << kHttpServiceUnavailable
-            << " reason=" << kReasonQuarantined << " fingerprint=" << FingerprintOf(*request)
-            << " quarantine_left_ms=" << left_ms;
-  m_metrics.GetCounter("entry_refused_total", "reason=\"quarantined\"").Add();
-  m_replies.Reply(std::move(request), kHttpServiceUnavailable, headers);
-}
-
 void EntryProxy::OnRequest(std::unique_ptr<DownstreamRequest> request) {
   if (m_draining) {
-    RefuseRequest(std::move(request), kHttpServiceUnavailable, kReasonDraining);
+    RefuseRequest(std::move(request), kHttpServiceUnavailable, kReasonDraining,
+                  kNoTableRetryAfterMs);
     return;
   }
   std::shared_ptr<const ConfigTable> table = m_view.table();
   if (table == nullptr) {
-    RefuseRequest(std::move(request), kHttpServiceUnavailable, "starting");
+    RefuseRequest(std::move(request), kHttpServiceUnavailable, "starting", kNoTableRetryAfterMs);
     return;
   }
   // Internal paths are not accessible to callers.
@@ -170,7 +157,9 @@
     deadline_ms = std::min(deadline_ms, *remaining);
   }
   if (auto left_ms = QuarantineLeftMs(m_blame, *request)) {
-    RefuseQuarantined(std::move(request), *left_ms);
+    LOG(INFO) << "event=request_in_quarantine id=" << CallerRequestId(*request)
+              << " fingerprint=" << FingerprintOf(*request) << " left_ms=" << *left_ms;
+    RefuseRequest(std::move(request), kHttpServiceUnavailable, kReasonQuarantined, *left_ms);
     return;
   }
   int64_t deadline_us = request->arrival_us() + deadline_ms * kUsPerMs;
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -73,9 +73,9 @@
  private:
   // Requests of callers.
   void OnRequest(std::unique_ptr<DownstreamRequest> request);
+  // `retry_after_ms` is sent with a 503 only.
   void RefuseRequest(std::unique_ptr<DownstreamRequest> request, int status,
-                     std::string_view reason);
-  void RefuseQuarantined(std::unique_ptr<DownstreamRequest> request, int64_t left_ms);
+                     std::string_view reason, int64_t retry_after_ms = 0);
   void SetRetryAfterFor(HeaderList& headers, int64_t retry_after_ms) const;
   void StartCall(std::unique_ptr<DownstreamRequest> request, const Route& route,
                  const WorkKind& kind, uint64_t version, int64_t deadline_us);
--- a/src/serving_call.h
+++ b/src/serving_call.h
@@ -17,6 +17,7 @@
 // Retry-After of a refusal for which admission predicts no wait, mostly because the node or its
 // server accepts no work.
 inline constexpr int64_t kDrainRetryAfterMs = 100;
+inline constexpr int kFirstServerError = 500;
 // Logged and reported in metrics where the backend server names no limit.
 inline constexpr double kNoLimit = -1;
 
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -33,7 +33,6 @@
 // disconnected, so that a repeated request with the same key gets the outcome.
 constexpr std::chrono::milliseconds kOrderGracePeriod{30'000};
 constexpr std::chrono::milliseconds kQueueCheckPeriod{20};
-constexpr int kFirstServerError = 500;
 constexpr std::string_view kDefaultWork = "unnamed;importance=1;short;once";
 
 AdmissionPolicy MakeAdmission(const Settings& settings) {
@@ -332,24 +331,6 @@
   }
 }
 
-// Records the result of a request in the failure rate of the backend server. A server that breaks
-// off consecutive requests is reported as unreachable: it gets no work until its next report, and
-// after that only until it breaks off another request.
-void ServingProxy::RecordServerResult(const Call& call, ExchangeResult result) {
-  if (result == ExchangeResult::kNotSent || call.server != m_gate.server) return;
-  if (result == ExchangeResult::kBroken) {
-    m_failures.OnBrokenConnection();
-  } else if (!call.refusal.empty() || call.server_status >= kFirstServerError) {
-    m_failures.OnFailure();
-  } else {
-    m_failures.OnSuccess();
-  }
-  if (!m_failures.is_unreachable() || !m_gate.is_open) return;
-  LOG(WARNING) << "event=server_breaks_off server=" << call.server.id
-               << " failing_percent=" << m_failures.percent();
-  if (m_observer.on_unreachable) m_observer.on_unreachable(call.server.id);
-}
-
 void ServingProxy::OnDone(Call& call, ExchangeResult result) {
   RecordServerResult(call, result);
   if (result == ExchangeResult::kBroken) OnBrokenOff(call);
--- a/src/serving_proxy_crashes.cc
+++ b/src/serving_proxy_failures.cc
@@ -1,4 +1,5 @@
-// The part of ServingProxy that finds out which requests crash the backend server.
+// The part of ServingProxy that evaluates failures of the backend server, and finds out which
+// requests crash it.
 #include <glog/logging.h>
 
 #include "request_fingerprint.h"
@@ -11,6 +12,24 @@
   m_on_suspects_changed = std::move(on_change);
 }
 
+// Records the result of a request in the failure rate of the backend server. A server that breaks
+// off consecutive requests is reported as unreachable: it gets no work until its next report, and
+// after that only until it breaks off another request.
+void ServingProxy::RecordServerResult(const Call& call, ExchangeResult result) {
+  if (result == ExchangeResult::kNotSent || call.server != m_gate.server) return;
+  if (result == ExchangeResult::kBroken) {
+    m_failures.OnBrokenConnection();
+  } else if (!call.refusal.empty() || call.server_status >= kFirstServerError) {
+    m_failures.OnFailure();
+  } else {
+    m_failures.OnSuccess();
+  }
+  if (!m_failures.is_unreachable() || !m_gate.is_open) return;
+  LOG(WARNING) << "event=server_breaks_off server=" << call.server.id
+               << " failing_percent=" << m_failures.percent();
+  if (m_observer.on_unreachable) m_observer.on_unreachable(call.server.id);
+}
+
 bool ServingProxy::IsRunning(uint64_t id) const {
   auto it = m_calls.find(id);
   return it != m_calls.end() && it->second->phase == Call::Phase::kRunning;
@@ -44,7 +63,6 @@
 // A server that answers has survived the request. Its own failures do not count as answers, since a
 // server may report one while it goes down.
 void ServingProxy::OnServerAnswer(const Call& call) {
-  constexpr int kFirstServerError = 500;
   m_crash_detector.OnAnswered(call.id);
   if (m_blame == nullptr || m_blame->empty()) return;
   if (!call.refusal.empty() || call.server_status >= kFirstServerError) return;
--- a/src/suspect_codec.cc
+++ b/src/suspect_codec.cc
@@ -9,12 +9,12 @@
 
 constexpr size_t kMaxFingerprintBytes = 64;
 constexpr size_t kMaxLifetimeBytes = 512;
-constexpr int kMaxCrashes = 8;
 
 bool IsValid(const pb::CrashSuspect& message) {
   size_t length = message.fingerprint().size();
   bool has_name = length > 0 && length <= kMaxFingerprintBytes;
-  bool has_crashes = message.crashes_size() <= kMaxCrashes &&
+  auto crashes = static_cast<size_t>(message.crashes_size());
+  bool has_crashes = crashes <= CrashBlame::kMaxCrashes &&
                      std::all_of(message.crashes().begin(), message.crashes().end(),
                                  [](const auto& id) { return id.size() <= kMaxLifetimeBytes; });
   return has_name && has_crashes && message.quarantine_left_ms() >= 0;
--- a/src/suspect_relay.cc
+++ b/src/suspect_relay.cc
@@ -104,7 +104,7 @@
     receiver.unsent.merge(in_flight);
     return;
   }
-  m_has_asked = true;
+  m_has_reply = true;
   Learn(reply->body, node);
 }
 
@@ -131,7 +131,7 @@
   m_timer.Start(kPeriod);
   int64_t now_us = EventLoop::NowUs();
   m_blame.Expire(now_us);
-  if (!m_has_asked) AskAtStart();
+  if (!m_has_reply) AskAtStart();
   if (m_blame.QuarantinedCount(now_us) > 0) ExchangeWithRandomNode();
   SendUnsent();
 }
--- a/src/suspect_relay.h
+++ b/src/suspect_relay.h
@@ -71,7 +71,7 @@
   std::shared_ptr<const EndpointList> m_endpoints;
   PendingReplies m_replies;
   std::map<std::string, Receiver> m_receivers;  // By node.
-  bool m_has_asked = false;                     // A node has replied since the start.
+  bool m_has_reply = false;                     // Another node has replied since the start.
   Counter& m_sent;
   Counter& m_failures;
   Timer m_timer;
--- a/test/error/repeated_refusal_test.cc
+++ b/test/error/repeated_refusal_test.cc
@@ -16,20 +16,36 @@
            "\r\nX-Guavatrail-Deadline-Ms: 5000\r\nX-Id: " + id + "\r\n";
   }
 
-  // Lets the server refuse request "1", and starts order "2" on the same connection.
-  void RefuseOneAndStartAnother() {
+  // Lets the server answer request "1" with `bytes`, which begin with a refusal. Returns the
+  // connection of the server.
+  FakeConnection* AnswerFirstWith(const std::string& bytes) {
     StartGuarded();
     auto first = Send("GET", "/1", Repeatable("1"));
-    ASSERT_TRUE(WaitForRunning(1));
+    EXPECT_TRUE(WaitForRunning(1));
     FakeConnection* connection = m_running.front().connection;
-    AnswerWith(Refusal("X-Id: 1\r\n"));
-    ASSERT_TRUE(RunUntil(m_loop, [&] { return first->HasCompleteAnswer(); }));
-    ASSERT_EQ(first->header("X-Guavatrail-Outcome"), "not-run");
+    AnswerWith(bytes);
+    EXPECT_TRUE(RunUntil(m_loop, [&] { return first->HasCompleteAnswer(); }));
+    EXPECT_EQ(first->header("X-Guavatrail-Outcome"), "not-run");
+    return connection;
+  }
+
+  // Starts order "2" on the connection on which request "1" was refused.
+  void RefuseOneAndStartAnother() {
+    FakeConnection* connection = AnswerFirstWith(Refusal("X-Id: 1\r\n"));
     m_second = Send("POST", "/2", Once("2"));
     ASSERT_TRUE(WaitForRunning(1));
     ASSERT_EQ(m_running.front().connection, connection);
   }
 
+  void ExpectSecondIsServedOnAnotherConnection(const FakeConnection* first) {
+    m_second = Send("POST", "/2", Once("2"));
+    ASSERT_TRUE(WaitForRunning(1));
+    EXPECT_NE(m_running.front().connection, first);
+    AnswerWith(MakeAnswer(200, "done", "X-Id: 2\r\n"));
+    ASSERT_TRUE(RunUntil(m_loop, [&] { return m_second->HasCompleteAnswer(); }));
+    EXPECT_EQ(m_second->body(), "done");
+  }
+
   std::unique_ptr<FakeClient> m_second;
 };
 
@@ -70,35 +86,16 @@
 
 // The refusal is written twice at once, so that the copy waits where the next answer is expected.
 TEST_F(RepeatedRefusal, BehindTheFirstOneEndsTheConnection) {
-  StartGuarded();
-  auto first = Send("GET", "/1", Repeatable("1"));
-  ASSERT_TRUE(WaitForRunning(1));
-  FakeConnection* connection = m_running.front().connection;
-  AnswerWith(Refusal("X-Id: 1\r\n") + Refusal(""));
-  ASSERT_TRUE(RunUntil(m_loop, [&] { return first->HasCompleteAnswer(); }));
-  auto second = Send("POST", "/2", Once("2"));
-  ASSERT_TRUE(WaitForRunning(1));
-  EXPECT_NE(m_running.front().connection, connection);
-  AnswerWith(MakeAnswer(200, "done", "X-Id: 2\r\n"));
-  ASSERT_TRUE(RunUntil(m_loop, [&] { return second->HasCompleteAnswer(); }));
-  EXPECT_EQ(second->body(), "done");
+  FakeConnection* connection = AnswerFirstWith(Refusal("X-Id: 1\r\n") + Refusal(""));
+  ExpectSecondIsServedOnAnotherConnection(connection);
 }
 
 // The copy arrives while no request is on the connection.
 TEST_F(RepeatedRefusal, OnAnIdleConnectionEndsIt) {
-  StartGuarded();
-  auto first = Send("GET", "/1", Repeatable("1"));
-  ASSERT_TRUE(WaitForRunning(1));
-  FakeConnection* connection = m_running.front().connection;
-  AnswerWith(Refusal("X-Id: 1\r\n"));
-  ASSERT_TRUE(RunUntil(m_loop, [&] { return first->HasCompleteAnswer(); }));
+  FakeConnection* connection = AnswerFirstWith(Refusal("X-Id: 1\r\n"));
   connection->Send(Refusal(""));
   ASSERT_TRUE(RunUntil(m_loop, [&] { return connection->peer_closed(); }));
-  auto second = Send("POST", "/2", Once("2"));
-  ASSERT_TRUE(WaitForRunning(1));
-  AnswerWith(MakeAnswer(200, "done", "X-Id: 2\r\n"));
-  ASSERT_TRUE(RunUntil(m_loop, [&] { return second->HasCompleteAnswer(); }));
-  EXPECT_EQ(second->body(), "done");
+  ExpectSecondIsServedOnAnotherConnection(connection);
 }
 
 }  // namespace
