--- a/test/error/connection_limit_test.cc
+++ b/test/error/connection_limit_test.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <optional>
 
 #include "downstream_request.h"
@@ -34,7 +35,8 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    connect(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    int result = connect(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    EXPECT_TRUE(result == 0 || errno == EINPROGRESS) << errno;
   }
 
   bool Send() {
@@ -60,7 +62,7 @@
     int next = dup(0);
     close(next);
     rlimit lowered = m_before;
-    lowered.rlim_cur = static_cast<rlim_t>(next + left);
+    lowered.rlim_cur = static_cast<rlim_t>(next) + static_cast<rlim_t>(left);
     setrlimit(RLIMIT_NOFILE, &lowered);
   }
   ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &m_before); }
--- a/test/platform/poison_request_test.cc
+++ b/test/platform/poison_request_test.cc
@@ -128,10 +128,12 @@
     Fragile& entry = m_servers[i % kNodes];
     auto poison = Send(entry.vm->settings.listen.caller_port, "GET", kPoisonPath,
                        CallHeaders("poison-" + std::to_string(i)));
+    constexpr int kPopularCalls = 6;
     std::vector<std::unique_ptr<FakeClient>> popular;
-    for (int k = 0; k < 6; ++k) {
+    popular.reserve(kPopularCalls);
+    for (int k = 0; k < kPopularCalls; ++k) {
       popular.push_back(Send(entry.vm->settings.listen.caller_port, "GET", kPopularPath,
-                             CallHeaders("popular-" + std::to_string(6 * i + k))));
+                             CallHeaders("popular-" + std::to_string(kPopularCalls * i + k))));
     }
     RunFor(m_loop, milliseconds(60));
     if (i >= 30) break;
