--- a/test/platform/poison_request_test.cc
+++ b/test/platform/poison_request_test.cc
@@ -182,7 +182,7 @@
   }));
 }
 
-// A node that starts anew asks others, since its predecessor may have known of the quarantine.
+// Processes that start anew get the quarantine from nodes that have kept it.
 TEST_F(PoisonRequest, RestartedNodesKeepTheQuarantine) {
   CrashServers(kCrashesToQuarantine);
   size_t before = PoisonRuns();
