--- a/test/error/connection_limit_test.cc
+++ b/test/error/connection_limit_test.cc
@@ -1,13 +1,14 @@
 // Guards against callers that keep connections open without a use for them and so keep other
 // callers out, for lack of file descriptors, while the node reports that it is ready.
 #include <arpa/inet.h>
+#include <dlfcn.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <functional>
 #include <optional>
 
 #include "downstream_request.h"
@@ -20,7 +21,7 @@
 constexpr std::chrono::milliseconds kTouchTime{3'000};
 const std::string kRequest = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
 
-// A non-blocking client whose descriptor is opened before it connects.
+// A non-blocking client.
 class LateClient {
  public:
   LateClient() : m_fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {}
@@ -28,8 +29,6 @@
   LateClient(const LateClient&) = delete;
   LateClient& operator=(const LateClient&) = delete;
 
-  int fd() const { return m_fd; }
-
   void Connect(uint16_t port) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -53,29 +52,35 @@
   int m_fd;
 };
 
-// Limits the descriptors of the process while it exists, so that `left` more can be opened.
-class DescriptorLimit {
- public:
-  explicit DescriptorLimit(int left) {
-    getrlimit(RLIMIT_NOFILE, &m_before);
-    // Descriptors get the lowest free numbers.
-    int next = dup(0);
-    close(next);
-    rlimit lowered = m_before;
-    lowered.rlim_cur = static_cast<rlim_t>(next) + static_cast<rlim_t>(left);
-    setrlimit(RLIMIT_NOFILE, &lowered);
+// Whether accept4() finds no free descriptor; null: it is not limited.
+std::function<bool()> g_lacks_descriptors;
+
+}  // namespace
+
+// Takes the place of the function of the C library, so that accepting fails as it does in a process
+// without free descriptors. The limit of the process itself stays, since the sanitizers need
+// descriptors of their own.
+extern "C" int accept4(int fd, sockaddr* address, socklen_t* length, int flags) {
+  using Accept4 = int (*)(int, sockaddr*, socklen_t*, int);
+  static const auto kAccept4 = reinterpret_cast<Accept4>(dlsym(RTLD_NEXT, "accept4"));
+  if (g_lacks_descriptors && g_lacks_descriptors()) {
+    errno = EMFILE;
+    return -1;
   }
-  ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &m_before); }
-  DescriptorLimit(const DescriptorLimit&) = delete;
-  DescriptorLimit& operator=(const DescriptorLimit&) = delete;
+  return kAccept4(fd, address, length, flags);
+}
 
- private:
-  rlimit m_before{};
-};
+namespace {
 
 class ConnectionLimit : public testing::Test {
  protected:
   void SetUp() override { ASSERT_TRUE(m_listener.Listen("127.0.0.1", 0)); }
+  void TearDown() override { g_lacks_descriptors = nullptr; }
+
+  // Lets the listener have `count` descriptors.
+  void LimitDescriptors(size_t count) {
+    g_lacks_descriptors = [this, count] { return m_listener.connections() >= count; };
+  }
 
   EventLoop m_loop;
   bool m_holds_requests = false;
@@ -96,7 +101,7 @@
   std::vector<std::unique_ptr<LateClient>> idle(40);
   for (auto& client : idle) client = std::make_unique<LateClient>();
   LateClient late;
-  DescriptorLimit limit(20);
+  LimitDescriptors(20);
   for (auto& client : idle) client->Connect(m_listener.port());
   RunFor(m_loop, std::chrono::milliseconds(100));
   late.Connect(m_listener.port());
@@ -111,7 +116,7 @@
   m_holds_requests = true;
   std::vector<std::unique_ptr<LateClient>> clients(30);
   for (auto& client : clients) client = std::make_unique<LateClient>();
-  DescriptorLimit limit(10);
+  LimitDescriptors(10);
   for (auto& client : clients) client->Connect(m_listener.port());
   // Connections with a request in progress are not closed.
   ASSERT_TRUE(RunUntil(m_loop, [&] {
