--- a/test/support/fake_server.cc
+++ b/test/support/fake_server.cc
@@ -52,6 +52,15 @@
   return "";
 }
 
+// Returns a socket that is bound to the port, or -1 if the port is in use.
+int BindLoopback(int port) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = Loopback(static_cast<uint16_t>(port));
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) return fd;
+  close(fd);
+  return -1;
+}
+
 // Joins the chunks of `text`. Returns nullopt if the last chunk is missing.
 std::optional<std::string> JoinChunks(std::string_view text) {
   std::string body;
@@ -200,19 +209,25 @@
 }
 
 uint16_t FreeFixedPort() {
+  // Each process takes its ports from blocks of its own, which it claims by holding the first port
+  // of the block. A port of a node that is down would otherwise seem free to another process.
   constexpr int kFirstPort = 20'000;
-  constexpr int kPorts = 12'000;
-  static int next = getpid() * 37 % kPorts;
-  for (int i = 0; i < kPorts; ++i) {
-    int port = kFirstPort + next++ % kPorts;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<uint16_t>(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bool is_free = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  constexpr int kBlockPorts = 100;
+  constexpr int kBlocks = 120;
+  static int block = getpid() % kBlocks;
+  static int next = kBlockPorts;
+  for (int i = 0; i < kBlocks * kBlockPorts; ++i) {
+    if (next == kBlockPorts) {
+      block = (block + 1) % kBlocks;
+      // Stays open until the process ends.
+      if (BindLoopback(kFirstPort + block * kBlockPorts) < 0) continue;
+      next = 1;
+    }
+    int port = kFirstPort + block * kBlockPorts + next++;
+    int fd = BindLoopback(port);
+    if (fd < 0) continue;
     close(fd);
-    if (is_free) return static_cast<uint16_t>(port);
+    return static_cast<uint16_t>(port);
   }
   return 0;
 }
