Measure how long passes of the event loop take

The incident of ready nodes without new connections has a loop that stands still among its hypotheses, and neither the metrics nor the log could show it. Each pass is recorded in the histogram loop_pass_us, and one of 0.2 s or more in a line event=slow_pass with what ran in it: accepted connections, input, timers.

--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -164,6 +164,7 @@
 
 void PooledConnection::OnEvent(bufferevent* /*bev*/, short what, void* arg) {
   auto* self = static_cast<PooledConnection*>(arg);
+  self->pool.m_loop.BeginCallback(LoopWork::kUpstream);
   if (self->is_closed) return;
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     self->has_connected = true;
@@ -214,6 +215,7 @@
 
 void PooledConnection::OnRead(bufferevent* /*bev*/, void* arg) {
   auto* self = static_cast<PooledConnection*>(arg);
+  self->pool.m_loop.BeginCallback(LoopWork::kUpstream);
   if (self->is_closed) return;
   if (self->exchange == nullptr) {
     // The server sent bytes while no request was in flight; they cannot be an answer.
--- a/src/control_transport.cc
+++ b/src/control_transport.cc
@@ -179,6 +179,7 @@
   // Keeps the socket alive, since a handler may disconnect it.
   std::shared_ptr<Socket> socket = static_cast<Socket*>(arg)->self.lock();
   if (socket == nullptr) return;
+  socket->owner->m_loop.BeginCallback(LoopWork::kControl);
   (socket->owner->*socket->drain)(*socket);
   socket->Rearm();
 }
--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -85,6 +85,7 @@
 
 void DownstreamConnection::OnRead(bufferevent* /*bev*/, void* arg) {
   auto* self = static_cast<DownstreamConnection*>(arg);
+  self->m_listener.m_loop.BeginCallback(LoopWork::kDownstream);
   if (self->m_state == State::kReading) self->Read();
   if (self->m_state == State::kLingering) {
     evbuffer* input = bufferevent_get_input(self->m_bev);
@@ -94,6 +95,7 @@
 
 void DownstreamConnection::OnEvent(bufferevent* /*bev*/, short what, void* arg) {
   auto* self = static_cast<DownstreamConnection*>(arg);
+  self->m_listener.m_loop.BeginCallback(LoopWork::kDownstream);
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0) return;
   self->Close();
 }
--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -292,6 +292,7 @@
 }
 
 void HttpListener::Accept(evutil_socket_t fd) {
+  m_loop.BeginCallback(LoopWork::kAccept);
   auto connection = std::make_unique<DownstreamConnection>(*this, fd);
   DownstreamConnection* raw = connection.get();
   m_connections[raw] = std::move(connection);
--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -31,7 +31,18 @@
 
 EventLoop::~EventLoop() { m_signals.clear(); }
 
-void EventLoop::Run() { event_base_loop(m_base.get(), EVLOOP_NO_EXIT_ON_EMPTY); }
+void EventLoop::Run() {
+  do {
+    event_base_loop(m_base.get(), EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+    EndPass();
+  } while (event_base_got_break(m_base.get()) == 0 && event_base_got_exit(m_base.get()) == 0);
+}
+
+void EventLoop::EndPass() {
+  if (!m_pass_timer.is_running()) return;
+  LoopPass pass = m_pass_timer.EndPass(NowUs());
+  if (m_pass_observer) m_pass_observer(pass);
+}
 
 void EventLoop::Stop() { event_base_loopbreak(m_base.get()); }
 
@@ -67,13 +78,13 @@
 }
 
 Timer::Timer(EventLoop& loop, std::function<void()> handler)
-    : m_handler(std::make_shared<std::function<void()>>(std::move(handler))) {
-  auto callback = [](evutil_socket_t, short, void* arg) {
-    std::shared_ptr<std::function<void()>> handler =
-        *static_cast<std::shared_ptr<std::function<void()>>*>(arg);
-    (*handler)();
+    : m_callback(std::make_shared<Callback>(Callback{loop, std::move(handler)})) {
+  auto on_timer = [](evutil_socket_t, short, void* arg) {
+    std::shared_ptr<Callback> callback = *static_cast<std::shared_ptr<Callback>*>(arg);
+    callback->loop.BeginCallback(LoopWork::kTimer);
+    callback->handler();
   };
-  m_event.reset(evtimer_new(loop.base(), callback, &m_handler));
+  m_event.reset(evtimer_new(loop.base(), on_timer, &m_callback));
   CHECK(m_event != nullptr) << "evtimer_new failed";
 }
 
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -9,6 +9,8 @@
 #include <memory>
 #include <vector>
 
+#include "loop_pass.h"
+
 namespace guavatrail {
 
 // Owns one libevent base. Not thread-safe: everything runs on the thread that calls Run().
@@ -27,6 +29,13 @@
   // Stops after `delay`, even when events are still pending.
   void StopAfter(std::chrono::milliseconds delay);
 
+  // From now on calls `observer` after each pass of Run() that had a callback; null: calls nothing.
+  void SetPassObserver(std::function<void(const LoopPass&)> observer) {
+    m_pass_observer = std::move(observer);
+  }
+  // To be called first in each callback from libevent.
+  void BeginCallback(LoopWork work) { m_pass_timer.BeginCallback(work, NowUs()); }
+
   // Calls `handler` on the loop whenever `signal_number` arrives.
   void OnSignal(int signal_number, std::function<void()> handler);
 
@@ -40,8 +49,12 @@
     void operator()(event_base* base) const { event_base_free(base); }
   };
   struct SignalHandler;
+  void EndPass();
+
   std::unique_ptr<event_base, BaseDeleter> m_base;
   std::vector<std::unique_ptr<SignalHandler>> m_signals;
+  PassTimer m_pass_timer;
+  std::function<void(const LoopPass&)> m_pass_observer;
 };
 
 // A timer on an event loop; destroying it cancels it. The handler may restart, cancel or destroy
@@ -62,8 +75,12 @@
   struct EventDeleter {
     void operator()(event* e) const { event_free(e); }
   };
+  struct Callback {
+    EventLoop& loop;
+    std::function<void()> handler;
+  };
   // Shared, so that a handler that destroys its own timer stays valid until it returns.
-  std::shared_ptr<std::function<void()>> m_handler;
+  std::shared_ptr<Callback> m_callback;
   std::unique_ptr<event, EventDeleter> m_event;
 };
 
--- a/src/node.cc
+++ b/src/node.cc
@@ -8,6 +8,7 @@
 #include "burn.h"
 #include "control_plane.h"
 #include "entry_proxy.h"
+#include "loop_monitor.h"
 #include "metrics.h"
 #include "platform_client.h"
 #include "random_source.h"
@@ -65,7 +66,8 @@
       : loop(event_loop),
         settings(node_settings),
         random(std::random_device{}()),
-        platform(loop, PlatformOptions(settings)),
+        loop_monitor(loop, metrics),
+      platform(loop, PlatformOptions(settings)),
         control(loop, settings, platform, metrics, random),
         serving(loop, settings, control.incarnation(), metrics, random),
         entry(loop, settings, control.view(), metrics, random,
@@ -86,6 +88,7 @@
   Settings settings;
   RandomSource random;
   Metrics metrics;
+  LoopMonitor loop_monitor;
   BurnRecorder burn;
   PlatformClient platform;
   ControlPlane control;
