Write log lines in atomic writes, so that lines of several nodes stay whole

Writes above PIPE_BUF are not atomic: where a pipe is full and several processes share it, a part of one is followed by lines of another.

Change: whole lines, at most PIPE_BUF bytes a write.

--- a/src/log_output.cc
+++ b/src/log_output.cc
@@ -1,6 +1,7 @@
 #include "log_output.h"
 
 #include <fcntl.h>
+#include <limits.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -16,6 +17,9 @@
 // Lines are batched, since each write is a system call.
 constexpr std::chrono::milliseconds kFlushPeriod{100};
 constexpr double kUsPerSecond = 1e6;
+// The end of a node's lines and the start of another's would run into each other if a write that is
+// not atomic met a full pipe that both share.
+constexpr size_t kAtomicWriteBytes = PIPE_BUF;
 
 std::string_view LevelName(google::LogSeverity severity) {
   switch (severity) {
@@ -50,6 +54,13 @@
   return true;
 }
 
+std::string_view LogLimiter::NextLines(size_t max_bytes) const {
+  std::string_view pending = m_pending;
+  if (pending.size() <= max_bytes) return pending;
+  size_t end = pending.rfind('\n', max_bytes - 1);
+  return pending.substr(0, end == std::string_view::npos ? max_bytes : end + 1);
+}
+
 LogOutput::LogOutput(EventLoop& loop, int fd) : m_fd(fd), m_timer(loop, [this] { Flush(); }) {
   // A blocked reader must not block the event loop.
   fcntl(m_fd, F_SETFL, fcntl(m_fd, F_GETFL) | O_NONBLOCK);
@@ -77,10 +88,12 @@
 }
 
 void LogOutput::Flush() {
-  const std::string& pending = m_limiter.pending();
-  if (pending.empty()) return;
-  ssize_t written = write(m_fd, pending.data(), pending.size());
-  if (written > 0) m_limiter.Consume(static_cast<size_t>(written));
+  while (!m_limiter.pending().empty()) {
+    std::string_view lines = m_limiter.NextLines(kAtomicWriteBytes);
+    ssize_t written = write(m_fd, lines.data(), lines.size());
+    if (written <= 0) break;
+    m_limiter.Consume(static_cast<size_t>(written));
+  }
   // If the reader is blocked or gone, the rest stays in the buffer, whose size is bounded.
   if (!m_limiter.pending().empty()) m_timer.Start(kFlushPeriod);
 }
--- a/src/log_output.h
+++ b/src/log_output.h
@@ -31,6 +31,8 @@
   // (warnings and errors) need no token.
   bool TryAppend(std::string_view line, bool is_urgent, int64_t now_us);
   const std::string& pending() const { return m_pending; }
+  // The first pending lines, of `max_bytes` together at most; the start of a longer line.
+  std::string_view NextLines(size_t max_bytes) const;
   void Consume(size_t bytes) { m_pending.erase(0, bytes); }
   uint64_t dropped() const { return m_dropped; }
 
