Refuse requests that could outlive a stopping node

Reported by an operator of a similar system: in a planned stop in calm, requests that came late in the grace time were passed on and cut off at its end without an answer, orders among them (LOST).

Cause: a stopping node accepted requests for 2.6 s (3.1 s while its server worked) whatever their deadline. With a grace time of 6 s the process ends after 5.5 s; an order with a time limit of 3 s that arrives after 2.6 s, or a download of 4 s after 1.5 s, can still be running or be sent on a slow link then. Work of other nodes was accepted for 1.8 s in the same way.

Change: from the stop signal on, a node refuses as not run what could not be answered before the process ends, judged by the deadline of the request. The callers are told when to come back; other nodes try another server at once.

Test: on the code before, the order is passed on and its connection ends without an answer when the process does, and the serving node runs work that outlives it. With the change the order gets 503 at once and is not run; an order whose deadline fits is served.

--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -163,6 +163,11 @@
     return;
   }
   int64_t deadline_us = request->arrival_us() + deadline_ms * kUsPerMs;
+  if (m_end_us && deadline_us + kDeadlineGraceMs * kUsPerMs > *m_end_us) {
+    RefuseRequest(std::move(request), kHttpServiceUnavailable, kReasonStopping,
+                  kNoTableRetryAfterMs);
+    return;
+  }
   StartCall(std::move(request), *route, *kind, table->version(), deadline_us);
 }
 
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <unordered_map>
@@ -56,6 +57,9 @@
   // running on the backend server may need calls through this port to finish.
   void StartDrain(std::function<void()> idle);
 
+  // The process ends at `end_us`, in monotonic microseconds. From now on refuses new requests as
+  // not run if their deadline leaves no time to answer them before, since they would be cut off.
+  void SetEndTime(int64_t end_us) { m_end_us = end_us; }
   // Continues to serve requests, but closes each connection after its next answer.
   void CloseAfterAnswers() { m_listener.CloseAfterAnswers(); }
   void SetPacer(LinkPacer& pacer) { m_listener.SetPacer(pacer); }
@@ -143,6 +147,7 @@
   RandomSource& m_random;
   const CrashBlame* m_blame = nullptr;
   bool m_draining = false;
+  std::optional<int64_t> m_end_us;  // When the process ends, if it is stopping.
   std::function<void()> m_on_idle;
   DeferredQueue m_deferred;
 };
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -133,6 +133,8 @@
     RefuseRequest(std::move(request), kReasonDraining, kDrainRetryAfterMs);
   } else if (!m_gate.is_open) {
     RefuseRequest(std::move(request), m_gate.reason, kDrainRetryAfterMs);
+  } else if (m_end_us && DeadlineOf(*request) > *m_end_us) {
+    RefuseRequest(std::move(request), kReasonStopping, kDrainRetryAfterMs);
   } else if (auto left_ms = QuarantineLeftMs(m_blame, *request)) {
     RefuseRequest(std::move(request), kReasonQuarantined, *left_ms);
   } else {
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <unordered_map>
@@ -60,6 +61,9 @@
   // Refuses new work as not run. Running requests continue; queued ones may still start during
   // `queue_time` and are then refused.
   void CloseGate(std::string_view reason, std::chrono::milliseconds queue_time);
+  // The process ends at `end_us`, in monotonic microseconds. From now on refuses new work as not
+  // run if its deadline is later.
+  void SetEndTime(int64_t end_us) { m_end_us = end_us; }
   // Tells entry nodes that `server` is leaving, as an answer of the server may state.
   void StateLeave(const ServerLifetime& server);
   // Sets the handler of the requests of other nodes for an internal path.
@@ -182,6 +186,7 @@
   std::unordered_map<uint64_t, Call*> m_by_serial;
   uint64_t m_next_id = 1;
   bool m_draining = false;
+  std::optional<int64_t> m_end_us;  // When the process ends, if it is stopping.
   std::function<void()> m_on_idle;
   DeferredQueue m_deferred;
 };
