Say that the node is not ready whenever its caller port takes no connection

The readiness answer said that a port had room while any connection on it was idle, also while the port was full or accept() failed for lack of descriptors. A node could so answer 200 and take no connection: an idle connection that is younger than 0.1 s isn't closed, and connections that the node opens itself may take the descriptors that become free.

The port has room only if it is below its limit and accept() has not failed in the last second without a later success.

--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -26,6 +26,9 @@
 // Time until accept() is tried again after it has failed, and until connections that were in use a
 // moment ago are checked again.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
+// A failure of accept() counts until a connection is accepted, but no longer than this: the caller
+// whose connection could not be accepted may have left.
+constexpr int64_t kFailureMemoryUs = 1'000'000;
 // The first request of a new connection, or the next one of a caller that was just answered, is
 // likely to be on its way for this time.
 constexpr std::chrono::milliseconds kMinIdle{100};
@@ -258,7 +261,8 @@
 }
 
 bool HttpListener::has_room() const {
-  return !m_idle.empty() || (!is_full() && !m_is_accept_paused);
+  bool is_failing = m_failed_us != 0 && EventLoop::NowUs() - m_failed_us < kFailureMemoryUs;
+  return !is_full() && !is_failing;
 }
 
 bool HttpListener::ClosesAfterAnswer() const {
@@ -293,6 +297,7 @@
 
 void HttpListener::Accept(evutil_socket_t fd) {
   m_loop.BeginCallback(LoopWork::kAccept);
+  m_failed_us = 0;
   auto connection = std::make_unique<DownstreamConnection>(*this, fd);
   DownstreamConnection* raw = connection.get();
   m_connections[raw] = std::move(connection);
@@ -315,6 +320,7 @@
 void HttpListener::OnAcceptFailed(int error) {
   ++m_accept_failures;
   m_is_accept_paused = true;
+  m_failed_us = EventLoop::NowUs();
   LogAcceptFailure(error);
   if (IsLackOfDescriptors(error)) CloseLongestIdle();
   UpdateAccepting();
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -159,7 +159,8 @@
   // is idle, new ones wait until a connection ends.
   void SetMaxConnections(size_t connections);
 
-  // Whether a new connection can be accepted now or after an idle one has been closed.
+  // Whether a new connection is accepted at once. False while the port is full, even if idle
+  // connections can be closed, and while accept() fails.
   bool has_room() const;
   uint16_t port() const { return m_port; }
   size_t connections() const { return m_connections.size(); }
@@ -199,6 +200,8 @@
   bool m_is_accept_paused = false;  // accept() has failed; it is tried again later.
   Timer m_accept_timer;
   uint64_t m_accept_failures = 0;
+  int64_t m_failed_us =
+      0;  // Time of the last failure of accept(); 0 once a connection is accepted.
   uint64_t m_idle_closed = 0;  // Idle connections that were closed to make room.
   // Times of the last log lines about failures and about the limit.
   int64_t m_failure_log_us = 0;
--- a/test/error/connection_limit_test.cc
+++ b/test/error/connection_limit_test.cc
@@ -129,6 +129,39 @@
   m_held.clear();
 }
 
+// The port said that it had room between two attempts of accept(), so that every other readiness
+// answer was positive although no connection was accepted for lack of descriptors.
+TEST_F(ConnectionLimit, PortWithoutDescriptorsHasNoRoomUntilAConnectionIsAccepted) {
+  g_lacks_descriptors = [] { return true; };
+  LateClient waiting;
+  waiting.Connect(m_listener.port());
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_listener.accept_failures() > 0; }));
+  int answers_with_room = 0;
+  Timer probe(m_loop, [&] {
+    answers_with_room += m_listener.has_room() ? 1 : 0;
+    probe.Start(std::chrono::microseconds(0));
+  });
+  probe.Start(std::chrono::microseconds(0));
+  RunFor(m_loop, std::chrono::milliseconds(300));
+  EXPECT_EQ(answers_with_room, 0);
+  g_lacks_descriptors = nullptr;
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return m_listener.connections() == 1; }));
+  EXPECT_TRUE(m_listener.has_room());
+}
+
+// An idle connection is no room while its descriptor does not get to the port: connections that the
+// node opens itself may take it.
+TEST_F(ConnectionLimit, IdleConnectionIsNoRoomWhileAcceptFails) {
+  FakeClient idle(m_loop, m_listener.port());
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_listener.idle_connections() == 1; }));
+  g_lacks_descriptors = [] { return true; };
+  LateClient waiting;
+  waiting.Connect(m_listener.port());
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_listener.accept_failures() > 0; }));
+  ASSERT_EQ(m_listener.idle_connections(), 1U);
+  EXPECT_FALSE(m_listener.has_room());
+}
+
 // Opens connections up to a limit, of which the first has a request in progress.
 class FullPort : public ConnectionLimit {
  protected:
@@ -198,6 +231,26 @@
   EXPECT_TRUE(RunUntil(m_loop, [&] { return waiting.HasCompleteAnswer(); }));
 }
 
+// Connections that have just been opened count as idle, but cannot be closed yet. A port that is
+// full of them takes no new one.
+TEST_F(FullPort, FullOfFreshConnectionsItHasNoRoomUntilOneIsClosed) {
+  m_holds_requests = false;
+  std::vector<std::unique_ptr<FakeClient>> callers;
+  bool had_room_while_full = false;
+  for (size_t i = 1; i < kMaxConnections; ++i) {
+    callers.push_back(std::make_unique<FakeClient>(m_loop, m_listener.port()));
+  }
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_listener.connections() == kMaxConnections; }));
+  int64_t full_us = EventLoop::NowUs();
+  while (m_listener.connections() == kMaxConnections) {
+    had_room_while_full = had_room_while_full || m_listener.has_room();
+    event_base_loop(m_loop.base(), EVLOOP_NONBLOCK);
+  }
+  EXPECT_FALSE(had_room_while_full);
+  EXPECT_LT(EventLoop::NowUs() - full_us, 500'000);
+  EXPECT_TRUE(m_listener.has_room());
+}
+
 // Near the limit callers are told that the connection closes, so that they do not reuse one that
 // the node is about to close.
 TEST_F(FullPort, AnswersNearTheLimitCloseTheirConnection) {
