Keep a route open after one large answer

Cause: the first answer of a kind was taken as its typical size, and each announced Content-Length as a sample. A refused request gives no sample, so the estimate never fell.

--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -236,7 +236,6 @@
     call.last_reason = head.status == kHttpGatewayTimeout ? "deadline" : "broken";
   }
   call.status = head.status;
-  if (head.content_length) m_answer_sizes.Add(call.work.name, *head.content_length);
   call.is_late = now_us > call.deadline_us;
   call.deadline_timer.Cancel();
   call.hedge_timer.Cancel();
@@ -314,6 +313,7 @@
     m_picker.OnFailure(call.service, attempt.node, EventLoop::NowUs());
   if (was_relayed) {
     bool whole = result == ExchangeResult::kComplete;
+    if (whole) m_answer_sizes.Add(call.work.name, call.relay.body_bytes());
     RecordOutcome(call, whole ? OutcomeOf(call.status, call.is_late) : CallOutcome::kIncomplete);
     call.relay.End(result);
     return;
--- a/src/link_pacer.cc
+++ b/src/link_pacer.cc
@@ -44,6 +44,9 @@
 }
 
 std::optional<int64_t> LinkBacklog::RefusalWaitMs(const LargeRequest& request) const {
+  // An accepted answer also corrects the estimate of the next ones, if it was too high.
+  bool is_idle = m_bytes + request.pending_bytes == 0;
+  if (is_idle && !request.is_offer) return std::nullopt;
   int64_t wait_ms = TimeMs(request.pending_bytes);
   int64_t total_ms = TimeMs(request.pending_bytes + request.bytes);
   auto bound_ms =
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -296,7 +296,6 @@
   }
   HeaderList headers = head.headers;
   RemoveNodeHeaders(headers);
-  if (head.content_length) m_answer_sizes.Add(call.work.name, *head.content_length);
   int64_t server_us = EventLoop::NowUs() - call.start_us;
   m_metrics.GetHistogram("server_answer_us", "kind=\"" + call.work.name + "\"").Record(server_us);
   if (call.is_keyed()) call.answer = {head.status, headers, ""};
@@ -359,6 +358,9 @@
   int64_t now_us = EventLoop::NowUs();
   if (call.is_keyed()) FinishOrder(call, result);
   if (call.relay.has_begun()) {
+    if (result == ExchangeResult::kComplete) {
+      m_answer_sizes.Add(call.work.name, call.relay.body_bytes());
+    }
     LogEnd(call, kOutcomeAnswered, result == ExchangeResult::kComplete ? "none" : "broken");
     if (call.is_attached()) call.relay.End(result);
   } else if (!call.may_have_been_sent) {
