--- a/test/platform/server_leaving_test.cc
+++ b/test/platform/server_leaving_test.cc
@@ -102,6 +102,22 @@
   ExpectNoWorkAfterARestart();
 }
 
+// The node is stopped and started alone while its server, which has left, still serves. A report
+// that was sent before the leave arrives at the new process.
+TEST_F(ServerLeavingTest, ReportedLeaveSurvivesAPlannedStop) {
+  StartServer();
+  ASSERT_EQ(Deregister(*m_serving, "i-1"), 200);
+  m_serving->node->Stop();
+  RunFor(m_loop, std::chrono::seconds(4));
+  m_serving->node.reset();
+  StartNode(*m_serving);
+  RunFor(m_loop, milliseconds(300));
+  EXPECT_EQ(SendHeartbeat(*m_serving, "i-1"), 200);
+  Vm& other = AddVm("front");
+  CallUntil(other, "/parts/1", 503);
+  EXPECT_EQ(CountArrivals(other), 0U);
+}
+
 TEST_F(ServerLeavingTest, WorkGoesToTheOtherServer) {
   Backend other;
   AddServer("i-2", other);
