--- a/test/platform/poison_request_test.cc
+++ b/test/platform/poison_request_test.cc
@@ -200,6 +200,36 @@
   EXPECT_EQ(PoisonRuns(), before);
 }
 
+// All processes that knew of the quarantine are lost at the same moment.
+TEST_F(PoisonRequest, QuarantineOutlastsTheLossOfAllNodes) {
+  CrashServers(kCrashesToQuarantine);
+  size_t before = PoisonRuns();
+  for (Fragile& server : m_servers) server.vm->node.reset();
+  for (Fragile& server : m_servers) StartNode(*server.vm);
+  for (Fragile& server : m_servers) {
+    SendHeartbeat(*server.vm, IdOf(server), "ready", server.lifetime);
+    ASSERT_TRUE(CallUntil(*server.vm, "/parts/3", kHttpOk));
+  }
+  for (Fragile& entry : m_servers) {
+    EXPECT_EQ(CallPoison(entry)->status(), kHttpServiceUnavailable);
+  }
+  EXPECT_EQ(PoisonRuns(), before);
+}
+
+// A quarantine that was found out while the store was away, or that the store has lost, is stored
+// once it answers again.
+TEST_F(PoisonRequest, QuarantineIsStoredAfterAnOutageAndAfterAReturnOfTheStore) {
+  auto is_stored = [&] { return !m_store.NamesOf("guavatrail-quarantines").empty(); };
+  auto copy = m_store.TakeCopy();
+  m_store.SetMode(FakeStore::Mode::kUnavailable);
+  CrashServers(kCrashesToQuarantine);
+  m_store.SetMode(FakeStore::Mode::kHealthy);
+  ASSERT_TRUE(RunUntil(m_loop, is_stored));
+  m_store.Restore(*copy);
+  ASSERT_FALSE(is_stored());
+  EXPECT_TRUE(RunUntil(m_loop, is_stored));
+}
+
 // A server that loses answers, or closes connections because it is full, has not crashed.
 TEST_F(PoisonRequest, LostAnswersAreNotBlamedOnTheRequest) {
   size_t runs = 0;
--- a/test/support/fake_store.cc
+++ b/test/support/fake_store.cc
@@ -260,4 +260,12 @@
   return it == objects->second.end() ? nullptr : &it->second.value["spec"];
 }
 
+std::vector<std::string> FakeStore::NamesOf(const std::string& kind) const {
+  std::vector<std::string> names;
+  auto objects = m_kinds.find(kind);
+  if (objects == m_kinds.end()) return names;
+  for (const auto& [name, object] : objects->second) names.push_back(name);
+  return names;
+}
+
 }  // namespace guavatrail
--- a/test/support/fake_store.h
+++ b/test/support/fake_store.h
@@ -59,6 +59,8 @@
   bool ReplayWrite(size_t number);
 
   const nlohmann::json* Find(const std::string& kind, const std::string& name) const;
+  // The names of the objects of a kind.
+  std::vector<std::string> NamesOf(const std::string& kind) const;
   uint64_t revision() const { return m_revision; }
   uint64_t era() const { return m_era; }
   int calls() const { return m_calls; }
