Read from a pooled connection again when it is reused

Cause: if the last part of an answer made the relay pause reading, the connection went back into the pool with reading disabled.

Change: a connection that is released to the pool is read again.

--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -456,6 +456,8 @@
 
 void ConnectionPool::Release(PooledConnection& connection) {
   connection.idle_since_us = EventLoop::NowUs();
+  // The last part of the answer may have paused reading.
+  bufferevent_enable(connection.bev, EV_READ);
   m_idle.push_back(&connection);
   if (!m_idle_timer.IsPending()) m_idle_timer.Start(kIdleCheckPeriod);
   if (!m_queued.empty()) m_deferred.Post([this] { StartQueued(); });
