--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -297,6 +297,7 @@
 
 void HttpListener::Accept(evutil_socket_t fd) {
   m_loop.BeginCallback(LoopWork::kAccept);
+  m_last_accept_us = EventLoop::NowUs();
   m_failed_us = 0;
   auto connection = std::make_unique<DownstreamConnection>(*this, fd);
   DownstreamConnection* raw = connection.get();
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -165,6 +165,8 @@
   uint16_t port() const { return m_port; }
   size_t connections() const { return m_connections.size(); }
   size_t idle_connections() const { return m_idle.size(); }
+  // Monotonic time at which the last connection was accepted; 0: none yet.
+  int64_t last_accept_us() const { return m_last_accept_us; }
   // Number of times that accept() has failed, mostly for lack of file descriptors.
   uint64_t accept_failures() const { return m_accept_failures; }
 
@@ -200,8 +202,9 @@
   bool m_is_accept_paused = false;  // accept() has failed; it is tried again later.
   Timer m_accept_timer;
   uint64_t m_accept_failures = 0;
-  int64_t m_failed_us =
-      0;  // Time of the last failure of accept(); 0 once a connection is accepted.
+  int64_t m_last_accept_us = 0;
+  // Time of the last failure of accept(); 0 once a connection is accepted.
+  int64_t m_failed_us = 0;
   uint64_t m_idle_closed = 0;  // Idle connections that were closed to make room.
   // Times of the last log lines about failures and about the limit.
   int64_t m_failure_log_us = 0;
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -68,8 +68,8 @@
   void SetCrashBlame(const CrashBlame& blame) { m_blame = &blame; }
 
   uint16_t port() const { return m_listener.port(); }
-  // Whether the caller port can take a new connection.
-  bool has_room() const { return m_listener.has_room(); }
+  // Accepts the connections of callers.
+  const HttpListener& listener() const { return m_listener; }
   size_t calls() const { return m_calls.size(); }
   // Whether every request received has been answered.
   bool is_idle() const { return m_calls.empty() && m_replies.empty(); }
