--- a/src/node.cc
+++ b/src/node.cc
@@ -67,7 +67,7 @@
         settings(node_settings),
         random(std::random_device{}()),
         loop_monitor(loop, metrics),
-      platform(loop, PlatformOptions(settings)),
+        platform(loop, PlatformOptions(settings)),
         control(loop, settings, platform, metrics, random),
         serving(loop, settings, control.incarnation(), metrics, random),
         entry(loop, settings, control.view(), metrics, random,
