--- a/src/link_pacer.h
+++ b/src/link_pacer.h
@@ -40,9 +40,9 @@
   // Time to send the backlog and another answer of `bytes`.
   int64_t TimeMs(int64_t bytes) const;
   // Returns nullopt if the request can be accepted, as it is on an idle link, which has no better
-  // time to offer; otherwise the time to send the backlog and the
-  // pending answers, at least 1 ms. An offer is refused if that time exceeds kMaxOfferBacklogMs,
-  // even if its answer could be sent in time.
+  // time to offer; otherwise the time to send the backlog and the pending answers, at least 1 ms.
+  // An offer is refused if that time exceeds kMaxOfferBacklogMs, even if its answer could be sent
+  // in time.
   std::optional<int64_t> RefusalWaitMs(const LargeRequest& request) const;
 
  private:
