--- a/src/config_codec.cc
+++ b/src/config_codec.cc
@@ -22,6 +22,7 @@
       out.mutable_service()->set_name(r.name);
       out.mutable_service()->set_owner(r.owner);
       out.mutable_service()->set_objective(r.objective);
+      out.mutable_service()->set_health_path(r.health_path);
       return out;
     }
     pb::Resource operator()(const WorkKind& r) const {
@@ -60,7 +61,7 @@
   switch (message.resource_case()) {
     case pb::Resource::kService: {
       const pb::Service& r = message.service();
-      return Service{r.name(), r.owner(), r.objective()};
+      return Service{r.name(), r.owner(), r.objective(), r.health_path()};
     }
     case pb::Resource::kWorkKind: {
       const pb::WorkKind& r = message.work_kind();
--- a/src/config_table.cc
+++ b/src/config_table.cc
@@ -31,6 +31,10 @@
                 "objective is " + std::to_string(service.objective) +
                     ", allowed is a number between 0 and 1");
   }
+  if (!service.health_path.empty() && !IsPathPrefix(service.health_path)) {
+    return Fail(Code::kInvalidValue, ref,
+                "health_path is \"" + service.health_path + "\", allowed is a path");
+  }
   return {};
 }
 
--- a/src/config_table.h
+++ b/src/config_table.h
@@ -21,6 +21,8 @@
   std::string owner;
   // Fraction of calls that must be good, in (0, 1).
   double objective = 0.999;
+  // Path at which a server of the service answers whether it is in service; empty: none.
+  std::string health_path;
   bool operator==(const Service&) const = default;
 };
 
--- a/src/external_protocol.h
+++ b/src/external_protocol.h
@@ -18,6 +18,8 @@
   // Sent to backend servers: the server that the request is meant for. Any other server answers
   // with 421 and does not run the request.
   std::string expected_server_header;
+  // In the answer of a backend server to a health check: the id of the server.
+  std::string server_id_header;
   // Marks an answer by which a backend server states that it did not run the request.
   std::string not_run_header;
   // In an answer of a backend server: the requests a second that it takes from all nodes together,
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -55,6 +55,9 @@
   // has been answered completely.
   void StartDrain(std::function<void()> idle);
 
+  // The backend server beside the node is `server`. If it was another one before, refuses new work
+  // as not run until OpenGate.
+  void SetServer(const ServerLifetime& server);
   // From now on sends new work to the backend server `server`, unless it has stated that it is
   // leaving. Initially the gate is open and requests carry no server id.
   void OpenGate(const ServerLifetime& server, int slots);
@@ -83,6 +86,8 @@
   using SuspectObserver = std::function<void(const std::vector<std::string>& fingerprints)>;
   void SetCrashBlame(CrashBlame& blame, SuspectObserver on_change);
 
+  // The connections to the backend server.
+  ConnectionPool& server_connections() { return m_pool; }
   uint16_t port() const { return m_listener.port(); }
   size_t calls() const { return m_calls.size(); }
   bool is_gate_open() const { return m_gate.is_open; }
--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -14,13 +14,18 @@
 
 }  // namespace
 
+void ServingProxy::SetServer(const ServerLifetime& server) {
+  if (m_gate.server == server) return;
+  CloseGate(kReasonNoServer, std::chrono::milliseconds(0));
+  m_failures = FailureRate();
+  EndLimit();
+  m_gate = {false, server, kReasonNoServer};
+}
+
 void ServingProxy::OpenGate(const ServerLifetime& server, int slots) {
   if (m_gate.is_leaving && m_gate.server == server) return;
-  bool is_new = !m_gate.is_open || m_gate.server != server;
-  if (m_gate.server != server) {
-    m_failures = FailureRate();
-    EndLimit();
-  }
+  SetServer(server);
+  bool is_new = !m_gate.is_open;
   m_gate = {true, server, ""};
   m_gate_timer.Cancel();
   if (auto* admission = std::get_if<SlotAdmission>(&m_admission)) admission->SetSlots(slots);
--- a/test/platform/server_leaving_test.cc
+++ b/test/platform/server_leaving_test.cc
@@ -102,6 +102,105 @@
   ExpectNoWorkAfterARestart();
 }
 
+// The leave was acknowledged while the store was away, so nothing has stored it, and nobody has sent
+// a request since, so no entry node knows it. The server still serves.
+class UnstoredLeaveTest : public ServerLeavingTest {
+ protected:
+  void LeaveDuringAnOutage() {
+    StartServer();
+    m_store.SetMode(FakeStore::Mode::kUnavailable);
+    ASSERT_EQ(Deregister(*m_serving, "i-1"), 200);
+    m_serving->health_handler = [](FakeConnection& c, const std::string&) {
+      c.Send(HealthAnswer(503, "i-1"));
+    };
+  }
+
+  // The store is back, the node starts anew, and a report that was sent before the leave arrives.
+  void RestartAndDeliverLateReport() {
+    m_serving->node.reset();
+    m_store.SetMode(FakeStore::Mode::kHealthy);
+    StartNode(*m_serving);
+    RunFor(m_loop, milliseconds(300));
+    EXPECT_EQ(SendHeartbeat(*m_serving, "i-1"), 200);
+    RunFor(m_loop, milliseconds(300));
+  }
+
+  void ExpectNoWork() {
+    EXPECT_EQ(CountArrivals(*m_entries[0]), 0U);
+    EXPECT_EQ(CountArrivals(*m_entries[1]), 0U);
+  }
+};
+
+TEST_F(UnstoredLeaveTest, SurvivesAKillOfTheNode) {
+  LeaveDuringAnOutage();
+  RestartAndDeliverLateReport();
+  ExpectNoWork();
+}
+
+TEST_F(UnstoredLeaveTest, SurvivesAPlannedStopOfTheNode) {
+  LeaveDuringAnOutage();
+  m_serving->node->Stop();
+  RunFor(m_loop, std::chrono::seconds(4));
+  RestartAndDeliverLateReport();
+  ExpectNoWork();
+}
+
+// The server answers health checks with success, and states its leave in the header only.
+TEST_F(UnstoredLeaveTest, IsLearnedFromTheHeaderOfAHealthCheck) {
+  LeaveDuringAnOutage();
+  m_serving->health_handler = [](FakeConnection& c, const std::string&) {
+    c.Send(HealthAnswer(200, "i-1", Leaving()));
+  };
+  RestartAndDeliverLateReport();
+  ExpectNoWork();
+}
+
+// Reports go on arriving late, so the check is repeated.
+TEST_F(UnstoredLeaveTest, HoldsThroughFurtherLateReports) {
+  LeaveDuringAnOutage();
+  RestartAndDeliverLateReport();
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(SendHeartbeat(*m_serving, "i-1"), 200);
+    RunFor(m_loop, milliseconds(300));
+  }
+  ExpectNoWork();
+}
+
+// The server has closed its port, so nothing answers the check.
+TEST_F(UnstoredLeaveTest, HoldsOnceTheServerHasClosedItsPort) {
+  LeaveDuringAnOutage();
+  m_serving->server->Crash();
+  RestartAndDeliverLateReport();
+  m_serving->server->Restart();
+  ExpectNoWork();
+}
+
+// Another server has started at the address and has not reported yet.
+TEST_F(UnstoredLeaveTest, HoldsOnceAnotherServerAnswersAtTheAddress) {
+  LeaveDuringAnOutage();
+  m_serving->health_handler = [](FakeConnection& c, const std::string&) {
+    c.Send(HealthAnswer(200, "i-2"));
+  };
+  RestartAndDeliverLateReport();
+  EXPECT_EQ(SendHeartbeat(*m_serving, "i-1"), 200);
+  ExpectNoWork();
+  m_serving->sequence = 0;
+  ASSERT_EQ(SendHeartbeat(*m_serving, "i-2", "ready", 2000), 200);
+  EXPECT_TRUE(CallUntil(*m_entries[0], "/parts/1", 200));
+}
+
+// A server whose first check gets no answer gets work after its next report.
+TEST_F(UnstoredLeaveTest, CheckWithoutAnswerIsRepeated) {
+  StartServer();
+  m_serving->server->Crash();
+  m_serving->node.reset();
+  StartNode(*m_serving);
+  RunFor(m_loop, milliseconds(300));
+  m_serving->server->Restart();
+  EXPECT_EQ(SendHeartbeat(*m_serving, "i-1"), 200);
+  EXPECT_TRUE(CallUntil(*m_entries[0], "/parts/1", 200));
+}
+
 // The node is stopped and started alone while its server, which has left, still serves. A report
 // that was sent before the leave arrives at the new process.
 TEST_F(ServerLeavingTest, ReportedLeaveSurvivesAPlannedStop) {
--- a/test/support/mesh_fixture.h
+++ b/test/support/mesh_fixture.h
@@ -25,6 +25,9 @@
     std::vector<std::string> requests;  // Received by the server.
     FakeServer::Handler handler;
     uint64_t sequence = 0;
+    std::string server_id;  // In the last heartbeat.
+    // Answers health checks; null: as a server that is in service.
+    FakeServer::Handler health_handler;
   };
 
   // Formats the answer of a backend server to `request`.
@@ -34,6 +37,20 @@
         "X-Request-Id: " + HeaderIn(request, "X-Request-Id") + "\r\nX-Response-Stamp: stamp\r\n");
   }
 
+  static void AnswerHealthCheck(Vm& vm, FakeConnection& c, const std::string& request) {
+    if (vm.health_handler) {
+      vm.health_handler(c, request);
+    } else {
+      c.Send(HealthAnswer(200, vm.server_id));
+    }
+  }
+
+  // Formats the answer of the server `id` to a health check.
+  static std::string HealthAnswer(int status, const std::string& id,
+                                  const std::string& headers = "") {
+    return MakeAnswer(status, "", "X-Instance-Id: " + id + "\r\n" + headers);
+  }
+
   Vm& AddVm(const std::string& service) {
     m_vms.push_back(std::make_unique<Vm>());
     Vm& vm = *m_vms.back();
@@ -43,6 +60,10 @@
     vm.server = std::make_unique<FakeServer>(
         m_loop,
         [&vm](FakeConnection& c, const std::string& request) {
+          if (request.starts_with("GET /healthz ")) {
+            AnswerHealthCheck(vm, c, request);
+            return;
+          }
           vm.requests.push_back(request);
           vm.handler(c, request);
         },
@@ -93,12 +114,13 @@
                {"priority", 0},
                {"match", {{"path-prefix", "/orders/"}}},
                {"action", {{"service", service}, {"timeout-s", timeout_s}, {"attempts", 2}}}}}}}}},
-         {"clusters", {{{"name", service}}}}});
+         {"clusters", {{{"name", service}, {"health-path", "/healthz"}}}}});
   }
 
   // Sends the heartbeat of a backend server to its node. Returns the status of the answer.
   int SendHeartbeat(Vm& vm, const std::string& id, const std::string& state = "ready",
                     int64_t born = 1000) {
+    vm.server_id = id;
     nlohmann::json body = {{"service", vm.settings.node.service},
                            {"address", "127.0.0.1:" + std::to_string(vm.server->port())},
                            {"zone", "braga"},
