Limit what a request can crash after a loss of all nodes

Cause: the quarantine could not be stored and was lost with all processes. Without it, each node sends the request to another server at the same moment, and a quarantine, which needs three crashes, comes too late for the fourth. No record can prevent this: nothing that outlives the processes could be written.

Change: a process whose record in the store is of an earlier process limits each request that no server has answered yet. An entry node sends it only to a shard of three nodes (rendezvous hashing), and a node runs one copy at a time and none that its server has crashed on, so at most three servers crash before the quarantine. The limit ends when a node that has been up for longer tells what it knows, so a restart of single nodes limits nothing for more than about a second, and otherwise after the length of a quarantine.

Ruled out: storing by more nodes (the store was away for all of them), and refusing suspects after one crash (the other copies are already running then).

--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -57,6 +57,7 @@
 
   uint64_t id = 0;
   std::string request_id;
+  std::string fingerprint;  // Only known during a containment; see crash_containment.h.
   std::string service;
   std::string route;
   std::string last_node;        // Serving node of the latest attempt.
@@ -65,8 +66,9 @@
   WorkTag work;
   int64_t deadline_us = 0;
   std::optional<OrderKey> key;
-  // Nodes that are not selected again, except after a refused offer.
-  std::set<std::string> attempted_nodes;
+  // Nodes that are not selected: those that were tried, except after a refused offer, and those
+  // outside the shard of a contained request.
+  std::set<std::string> excluded_nodes;
   int attempts_started = 0;
   int offers_made = 0;
   int queue_refusals = 0;  // Refusals by nodes where the wait would have been too long.
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -193,6 +193,7 @@
   int64_t now_us = EventLoop::NowUs();
   m_picker.SetEndpoints(m_view.endpoints(), now_us);
   m_picker.OnCall(call.service);
+  LimitToShard(call);
   if (deadline_us <= now_us) {
     AnswerNotRun(call, kDefaultRetryAfterMs);
     return;
@@ -206,6 +207,15 @@
   }
 }
 
+void EntryProxy::LimitToShard(EntryCall& call) {
+  int64_t now_us = EventLoop::NowUs();
+  if (m_containment == nullptr || !m_containment->IsActive(now_us)) return;
+  call.fingerprint = FingerprintOf(*call.downstream);
+  if (!m_containment->IsContained(call.fingerprint, now_us)) return;
+  Shard shard = ShardOf(call.fingerprint, m_picker.endpoints(), call.service);
+  call.excluded_nodes.insert(shard.other_nodes.begin(), shard.other_nodes.end());
+}
+
 void EntryProxy::OnHead(EntryCall& call, EntryAttempt& attempt, const AnswerHead& head) {
   int64_t now_us = EventLoop::NowUs();
   m_picker.OnAnswerHeaders(call.service, attempt.node, head.headers, now_us);
@@ -223,7 +233,7 @@
     if (wait_ms > 0) call.busy_nodes.emplace_back(wait_ms, attempt.node);
     // The order may return to this node under a new key, unless the node is draining.
     bool is_draining = reason == kReasonDraining;
-    if (call.work.mode == RunMode::kKeyed && !is_draining) call.attempted_nodes.erase(attempt.node);
+    if (call.work.mode == RunMode::kKeyed && !is_draining) call.excluded_nodes.erase(attempt.node);
     return;
   }
   if ((IsShedByServer(call, head) || IsRetryableFailure(call, head)) &&
@@ -235,6 +245,10 @@
     call.may_have_run = true;
     call.last_reason = head.status == kHttpGatewayTimeout ? "deadline" : "broken";
   }
+  if (!call.fingerprint.empty() && HasOutcome(head.headers, kOutcomeAnswered) &&
+      head.status < kHttpInternalError) {
+    m_containment->OnAnswered(call.fingerprint, now_us);
+  }
   call.status = head.status;
   call.is_late = now_us > call.deadline_us;
   call.deadline_timer.Cancel();
@@ -271,7 +285,7 @@
 bool EntryProxy::RetryOnAnotherServer(EntryCall& call, EntryAttempt& attempt) {
   if (call.attempts_started >= kMaxAttemptsPerCall) return false;
   const Endpoint* server =
-      m_picker.Pick(call.service, call.attempted_nodes, false, false, EventLoop::NowUs());
+      m_picker.Pick(call.service, call.excluded_nodes, false, false, EventLoop::NowUs());
   if (server == nullptr || !m_picker.TakeRetry(call.service)) return false;
   attempt.is_refused = true;
   call.may_have_run = true;
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -13,6 +13,7 @@
 #include "answer_size_estimator.h"
 #include "burn.h"
 #include "crash_blame.h"
+#include "crash_containment.h"
 #include "downstream_request.h"
 #include "event_loop.h"
 #include "external_protocol.h"
@@ -66,6 +67,8 @@
   void SetLimits(const CallerLimits& limits);
   // From now on refuses requests that `blame` has in quarantine as not run.
   void SetCrashBlame(const CrashBlame& blame) { m_blame = &blame; }
+  // From now on sends contained requests only to the nodes of their shard.
+  void SetContainment(CrashContainment& containment) { m_containment = &containment; }
 
   uint16_t port() const { return m_listener.port(); }
   // Accepts the connections of callers.
@@ -83,6 +86,7 @@
   void SetRetryAfterFor(HeaderList& headers, int64_t retry_after_ms) const;
   void StartCall(std::unique_ptr<DownstreamRequest> request, const Route& route,
                  const WorkKind& kind, uint64_t version, int64_t deadline_us);
+  void LimitToShard(EntryCall& call);
   void OnDownstreamEnd(EntryCall& call, bool written);
   void OnDeadline(EntryCall& call);
 
@@ -146,6 +150,7 @@
   AnswerSizeEstimator m_answer_sizes;
   RandomSource& m_random;
   const CrashBlame* m_blame = nullptr;
+  CrashContainment* m_containment = nullptr;
   bool m_draining = false;
   std::optional<int64_t> m_end_us;  // When the process ends, if it is stopping.
   std::function<void()> m_on_idle;
--- a/src/entry_proxy_attempts.cc
+++ b/src/entry_proxy_attempts.cc
@@ -37,12 +37,12 @@
   bool stays_local = is_large && call.offers_made < kMaxOffers;
   const Endpoint* server = nullptr;
   if (is_offer || call.busy_nodes.empty()) {
-    server = m_picker.Pick(call.service, call.attempted_nodes,
-                           is_repeatable && call.attempted_nodes.empty(), stays_local,
+    server = m_picker.Pick(call.service, call.excluded_nodes,
+                           is_repeatable && call.excluded_nodes.empty(), stays_local,
                            EventLoop::NowUs());
     // The data centre has no other server of the service.
     if (server == nullptr && stays_local && HasLongWait(call)) {
-      server = m_picker.Pick(call.service, call.attempted_nodes, false, false, EventLoop::NowUs());
+      server = m_picker.Pick(call.service, call.excluded_nodes, false, false, EventLoop::NowUs());
     }
   }
   if (server == nullptr) {
@@ -87,7 +87,7 @@
   if (server == nullptr) return false;
   ++call.attempts_started;
   if (is_offer) ++call.offers_made;
-  call.attempted_nodes.insert(server->node);
+  call.excluded_nodes.insert(server->node);
   auto owned = std::make_unique<EntryAttempt>();
   EntryAttempt& attempt = *owned;
   attempt.node = server->node;
@@ -156,7 +156,7 @@
   // A large answer sent twice would take link bandwidth from other answers.
   if (m_answer_sizes.TypicalBytes(call.work.name) > LinkPacer::kLargeBytes) return;
   int64_t now_us = EventLoop::NowUs();
-  const Endpoint* server = m_picker.Pick(call.service, call.attempted_nodes, false, false, now_us);
+  const Endpoint* server = m_picker.Pick(call.service, call.excluded_nodes, false, false, now_us);
   if (server == nullptr || !m_picker.TakeHedge(call.service, now_us)) return;
   m_metrics.GetCounter("hedges_total", "kind=\"" + call.work.name + "\"").Add();
   LOG(INFO) << "event=hedge id=" << call.request_id << " kind=" << call.work.name
--- a/src/entry_proxy_orders.cc
+++ b/src/entry_proxy_orders.cc
@@ -33,13 +33,13 @@
 // Responds with a new key, under which the caller can send the order.
 void EntryProxy::FetchKey(EntryCall& call) {
   const Endpoint* server =
-      m_picker.Pick(call.service, call.attempted_nodes, false, false, EventLoop::NowUs());
+      m_picker.Pick(call.service, call.excluded_nodes, false, false, EventLoop::NowUs());
   if (server == nullptr || call.attempts_started >= kMaxAttemptsPerCall) {
     AnswerNotRun(call, call.retry_after_ms);
     return;
   }
   ++call.attempts_started;
-  call.attempted_nodes.insert(server->node);
+  call.excluded_nodes.insert(server->node);
   call.query = std::make_unique<HttpQuery>(
       m_loop, m_peers.PoolOf(*server),
       UpstreamRequest{.method = EVHTTP_REQ_POST, .uri = kOrderKeyPath}, kKeyTimeout,
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -80,6 +80,9 @@
 inline constexpr char kReasonNoServer[] = "no_server";
 // The request has crashed several backend servers; see crash_blame.h.
 inline constexpr char kReasonQuarantined[] = "quarantined";
+// The request may have crashed backend servers, and this node must not run it now; see
+// crash_containment.h.
+inline constexpr char kReasonContained[] = "contained";
 
 inline constexpr size_t kMaxHeaderBytes = 65'536;
 inline constexpr size_t kMaxRequestBodyBytes = 1'048'576;
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -164,8 +164,9 @@
     m_tracker.OnRefusal(node, backoff_ms, now_us);
     return;
   }
-  // A quarantine concerns the request and not the node.
-  if (HeaderValue(headers, kReasonHeader) == kReasonQuarantined) return;
+  // A quarantine or containment concerns the request and not the node.
+  std::string_view reason = HeaderValue(headers, kReasonHeader);
+  if (reason == kReasonQuarantined || reason == kReasonContained) return;
   int64_t retry_after_ms = HeaderNumber(headers, kRetryAfterMsHeader);
   if (retry_after_ms <= 0) return;
   m_tracker.OnRefusal(node, retry_after_ms, now_us);
--- a/src/serving_call.h
+++ b/src/serving_call.h
@@ -38,6 +38,7 @@
   uint64_t id = 0;
   uint64_t serial = 0;  // Ledger number of a keyed order; 0: not a keyed order.
   std::string request_id;
+  std::string fingerprint;     // Only known during a containment; see crash_containment.h.
   int64_t retry_after_ms = 0;  // Sent with a refusal.
   int64_t wait_ms = 0;         // Predicted wait, sent with a refused offer.
   ServerLifetime server;       // Backend server that the request was sent to.
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -137,6 +137,8 @@
     RefuseRequest(std::move(request), kReasonStopping, kDrainRetryAfterMs);
   } else if (auto left_ms = QuarantineLeftMs(m_blame, *request)) {
     RefuseRequest(std::move(request), kReasonQuarantined, *left_ms);
+  } else if (IsContainedHere(*request)) {
+    RefuseRequest(std::move(request), kReasonContained, kDrainRetryAfterMs);
   } else {
     Admit(std::move(request), work, 0);
   }
@@ -158,6 +160,9 @@
   if (serial != 0) m_by_serial[serial] = &call;
   call.downstream->SetEndHandler([this, &call](bool written) { OnDownstreamEnd(call, written); });
   int64_t now_us = EventLoop::NowUs();
+  if (m_containment != nullptr && m_containment->IsActive(now_us)) {
+    call.fingerprint = FingerprintOf(*call.downstream);
+  }
   bool is_offer = FindHeader(call.downstream->headers(), kOfferHeader) != nullptr;
   if (auto wait_ms = LinkWaitMs(call, is_offer)) {
     call.wait_ms = *wait_ms;
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -15,6 +15,7 @@
 #include "answer_size_estimator.h"
 #include "connection_pool.h"
 #include "crash_blame.h"
+#include "crash_containment.h"
 #include "crash_detector.h"
 #include "downstream_request.h"
 #include "event_loop.h"
@@ -88,6 +89,10 @@
 
   // The connections to the backend server.
   ConnectionPool& server_connections() { return m_pool; }
+  // From now on runs one copy of a contained request at a time, and none that it ran when the
+  // backend server crashed. `containment` must outlive the proxy.
+  void SetContainment(CrashContainment& containment) { m_containment = &containment; }
+
   uint16_t port() const { return m_listener.port(); }
   size_t calls() const { return m_calls.size(); }
   bool is_gate_open() const { return m_gate.is_open; }
@@ -112,6 +117,7 @@
   bool IsRunning(uint64_t id) const;
   void OnServerCrashed(const ServerLifetime& server, const std::vector<std::string>& fingerprints);
   void OnServerAnswer(const Call& call);
+  bool IsContainedHere(const DownstreamRequest& request) const;
 
   void Admit(std::unique_ptr<DownstreamRequest> request, const WorkTag& work, uint64_t serial);
   std::optional<int64_t> LinkWaitMs(const Call& call, bool is_offer) const;
@@ -176,6 +182,7 @@
   AdmissionPolicy m_admission;
   FailureRate m_failures;  // Failure rate of the backend server.
   CrashBlame* m_blame = nullptr;
+  CrashContainment* m_containment = nullptr;
   SuspectObserver m_on_suspects_changed;
   CrashDetector m_crash_detector;
   KeyedOrders m_orders;
--- a/src/serving_proxy_failures.cc
+++ b/src/serving_proxy_failures.cc
@@ -2,6 +2,8 @@
 // requests crash it.
 #include <glog/logging.h>
 
+#include <algorithm>
+
 #include "request_fingerprint.h"
 #include "serving_call.h"
 
@@ -49,9 +51,27 @@
   m_crash_detector.OnBrokenOff(call.server, std::move(running));
 }
 
+// Whether the node must not run the request now: its server has crashed while it ran the request,
+// or another copy of it has not been answered yet.
+bool ServingProxy::IsContainedHere(const DownstreamRequest& request) const {
+  int64_t now_us = EventLoop::NowUs();
+  if (m_containment == nullptr || !m_containment->IsActive(now_us)) return false;
+  std::string fingerprint = FingerprintOf(request);
+  if (!m_containment->IsContained(fingerprint, now_us)) return false;
+  if (m_containment->HasCrashedHere(fingerprint)) return true;
+  return std::any_of(m_calls.begin(), m_calls.end(), [&](const auto& item) {
+    return item.second->phase != Call::Phase::kEnded && item.second->fingerprint == fingerprint;
+  });
+}
+
 void ServingProxy::OnServerCrashed(const ServerLifetime& server,
                                    const std::vector<std::string>& fingerprints) {
   std::string lifetime = std::to_string(server.started_ms) + "/" + server.id;
+  if (m_containment != nullptr) {
+    for (const std::string& fingerprint : fingerprints) {
+      m_containment->OnCrashHere(fingerprint, EventLoop::NowUs());
+    }
+  }
   std::vector<std::string> blamed = m_blame->OnCrash(lifetime, fingerprints, EventLoop::NowUs());
   LOG(WARNING) << "event=crash_blamed server=" << server.id << " running=" << fingerprints.size()
                << " blamed=" << blamed.size() << " suspects=" << m_blame->size();
@@ -64,8 +84,11 @@
 // server may report one while it goes down.
 void ServingProxy::OnServerAnswer(const Call& call) {
   m_crash_detector.OnAnswered(call.id);
-  if (m_blame == nullptr || m_blame->empty()) return;
   if (!call.refusal.empty() || call.server_status >= kFirstServerError) return;
+  if (!call.fingerprint.empty()) {
+    m_containment->OnAnswered(call.fingerprint, EventLoop::NowUs());
+  }
+  if (m_blame == nullptr || m_blame->empty()) return;
   std::string fingerprint = FingerprintOf(*call.downstream);
   if (m_blame->OnAnswered(fingerprint, EventLoop::NowUs())) m_on_suspects_changed({fingerprint});
 }
--- a/src/suspect_codec.cc
+++ b/src/suspect_codec.cc
@@ -22,9 +22,10 @@
 
 }  // namespace
 
-std::string EncodeSuspects(std::span<const CrashSuspect> suspects) {
+std::string EncodeSuspects(const SuspectMessage& message) {
   pb::CrashSuspects out;
-  for (const CrashSuspect& suspect : suspects) {
+  out.set_complete_for_ms(message.complete_for_ms);
+  for (const CrashSuspect& suspect : message.suspects) {
     pb::CrashSuspect& entry = *out.add_suspects();
     entry.set_fingerprint(suspect.fingerprint);
     for (const std::string& lifetime : suspect.crashes) entry.add_crashes(lifetime);
@@ -34,7 +35,7 @@
   return SerializeCanonical(out);
 }
 
-tl::expected<std::vector<CrashSuspect>, CodecError> DecodeSuspects(std::string_view bytes) {
+tl::expected<SuspectMessage, CodecError> DecodeSuspects(std::string_view bytes) {
   auto fail = [](const char* message) { return tl::make_unexpected(CodecError{message}); };
   pb::CrashSuspects message;
   bool is_parsed = bytes.size() <= INT32_MAX &&
@@ -43,15 +44,15 @@
   if (static_cast<size_t>(message.suspects_size()) > CrashBlame::kMaxSuspects) {
     return fail("crash suspects: more than a node keeps");
   }
-  std::vector<CrashSuspect> suspects;
+  SuspectMessage decoded{.complete_for_ms = message.complete_for_ms()};
   for (const pb::CrashSuspect& entry : message.suspects()) {
     if (!IsValid(entry)) return fail("crash suspect: field out of range");
-    suspects.push_back({.fingerprint = entry.fingerprint(),
+    decoded.suspects.push_back({.fingerprint = entry.fingerprint(),
                         .crashes = {entry.crashes().begin(), entry.crashes().end()},
                         .is_cleared = entry.is_cleared(),
                         .quarantine_left_ms = entry.quarantine_left_ms()});
   }
-  return suspects;
+  return decoded;
 }
 
 }  // namespace guavatrail
--- a/src/suspect_relay.cc
+++ b/src/suspect_relay.cc
@@ -10,24 +10,29 @@
 
 constexpr std::chrono::milliseconds kPeriod{1'000};
 constexpr std::chrono::milliseconds kRequestTimeout{1'000};
+// Processes whose starts are closer than this may have been started together.
+constexpr std::chrono::milliseconds kMinAgeDifference{1'000};
+constexpr int64_t kUsPerMs = 1000;
 constexpr size_t kMaxReplyBytes = 262'144;
 
 }  // namespace
 
 SuspectRelay::SuspectRelay(EventLoop& loop, const NodeSettings& node, PeerClient& peers,
-                           CrashBlame& blame, Metrics& metrics, RandomSource& random,
-                           Handler handler)
+                           CrashBlame& blame, CrashContainment& containment,
+                           Metrics& metrics, RandomSource& random, Handler handler)
     : m_loop(loop),
       m_name(node.name),
       m_service(node.service),
       m_peers(peers),
       m_blame(blame),
+      m_containment(containment),
       m_random(random),
       m_handler(std::move(handler)),
       m_endpoints(std::make_shared<const EndpointList>()),
       m_replies(loop),
       m_sent(metrics.GetCounter("suspect_messages_total")),
       m_failures(metrics.GetCounter("suspect_message_failures_total")),
+      m_containment_gauge(metrics.GetGauge("crash_containment_active")),
       m_timer(loop, [this] { OnTimer(); }) {
   m_timer.Start(kPeriod);
 }
@@ -86,7 +91,7 @@
   UpstreamRequest request{.method = EVHTTP_REQ_POST,
                           .uri = kSuspectsPath,
                           .headers = {{kNodeHeader, m_name}},
-                          .body = std::make_shared<const std::string>(EncodeSuspects(suspects))};
+                          .body = std::make_shared<const std::string>(Encode(std::move(suspects)))};
   receiver.query = std::make_unique<HttpQuery>(
       m_loop, m_peers.PoolOf(endpoint), std::move(request), kRequestTimeout,
       [this, node = endpoint.node](const std::optional<HttpReply>& reply) { OnReply(node, reply); },
@@ -111,27 +116,49 @@
 void SuspectRelay::HandleRequest(std::unique_ptr<DownstreamRequest> request) {
   std::string source(HeaderValue(request->headers(), kNodeHeader));
   Learn(*request->body(), source);
-  std::string body = EncodeSuspects(m_blame.Suspects(EventLoop::NowUs()));
+  std::string body = Encode(m_blame.Suspects(EventLoop::NowUs()));
   request->BypassPacing();
   m_replies.Reply(std::move(request), kHttpOk, {}, body);
 }
 
 void SuspectRelay::Learn(std::string_view bytes, std::string_view source) {
-  auto suspects = DecodeSuspects(bytes);
-  if (!suspects) {
+  auto message = DecodeSuspects(bytes);
+  if (!message) {
     LOG_EVERY_N(WARNING, 100) << "event=suspects_unreadable source=" << source << " error=\""
-                              << suspects.error().message << "\"";
+                              << message.error().message << "\"";
     return;
   }
-  std::vector<std::string> learned = m_blame.Merge(*suspects, EventLoop::NowUs());
+  EndContainment(message->complete_for_ms, source);
+  std::vector<std::string> learned = m_blame.Merge(message->suspects, EventLoop::NowUs());
   if (!learned.empty()) m_handler(learned, source);
 }
 
+int64_t SuspectRelay::UptimeMs() const { return (EventLoop::NowUs() - m_start_us) / kUsPerMs; }
+
+std::string SuspectRelay::Encode(std::vector<CrashSuspect> suspects) const {
+  bool is_complete = !m_containment.IsActive(EventLoop::NowUs());
+  return EncodeSuspects({.suspects = std::move(suspects),
+                         .complete_for_ms = is_complete ? UptimeMs() : 0});
+}
+
+// What a process of an earlier start knows has not been lost. Processes that started at about the
+// same time as this one may have lost the same.
+void SuspectRelay::EndContainment(int64_t complete_for_ms, std::string_view source) {
+  if (!m_containment.IsActive(EventLoop::NowUs())) return;
+  if (complete_for_ms < UptimeMs() + kMinAgeDifference.count()) return;
+  LOG(INFO) << "event=containment_ended source=" << source
+            << " complete_for_ms=" << complete_for_ms << " uptime_ms=" << UptimeMs();
+  m_containment.End();
+}
+
 void SuspectRelay::OnTimer() {
   m_timer.Start(kPeriod);
   int64_t now_us = EventLoop::NowUs();
   m_blame.Expire(now_us);
   if (!m_has_reply) AskAtStart();
+  bool is_containing = m_containment.IsActive(now_us);
+  m_containment_gauge.Set(is_containing ? 1 : 0);
+  if (is_containing) ExchangeWithRandomNode();
   if (m_blame.QuarantinedCount(now_us) > 0) ExchangeWithRandomNode();
   SendUnsent();
 }
--- a/src/suspect_relay.h
+++ b/src/suspect_relay.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "crash_blame.h"
+#include "crash_containment.h"
 #include "downstream_request.h"
 #include "endpoint.h"
 #include "event_loop.h"
@@ -33,7 +34,7 @@
       std::function<void(const std::vector<std::string>& fingerprints, std::string_view source)>;
 
   SuspectRelay(EventLoop& loop, const NodeSettings& node, PeerClient& peers, CrashBlame& blame,
-               Metrics& metrics, RandomSource& random, Handler handler);
+               CrashContainment& containment, Metrics& metrics, RandomSource& random, Handler handler);
   SuspectRelay(const SuspectRelay&) = delete;
   SuspectRelay& operator=(const SuspectRelay&) = delete;
 
@@ -58,6 +59,9 @@
   void Send(const Endpoint& endpoint, Receiver& receiver);
   void OnReply(const std::string& node, const std::optional<HttpReply>& reply);
   void Learn(std::string_view bytes, std::string_view source);
+  void EndContainment(int64_t complete_for_ms, std::string_view source);
+  std::string Encode(std::vector<CrashSuspect> suspects) const;
+  int64_t UptimeMs() const;
   std::vector<const Endpoint*> OtherNodes(std::string_view service) const;
   const Endpoint* RandomOf(std::span<const Endpoint* const> nodes);
 
@@ -66,6 +70,8 @@
   std::string m_service;
   PeerClient& m_peers;
   CrashBlame& m_blame;
+  CrashContainment& m_containment;
+  int64_t m_start_us = EventLoop::NowUs();
   RandomSource& m_random;
   Handler m_handler;
   std::shared_ptr<const EndpointList> m_endpoints;
@@ -74,6 +80,7 @@
   bool m_has_reply = false;                     // Another node has replied since the start.
   Counter& m_sent;
   Counter& m_failures;
+  Gauge& m_containment_gauge;
   Timer m_timer;
 };
 
--- a/test/platform/poison_request_test.cc
+++ b/test/platform/poison_request_test.cc
@@ -230,6 +230,78 @@
   EXPECT_TRUE(RunUntil(m_loop, is_stored));
 }
 
+// The quarantine was found out while the store was away, so nothing has stored it, and all processes
+// that knew of it are lost. All nodes then send the request at the same moment.
+class LostQuarantine : public PoisonRequest {
+ protected:
+  void LoseQuarantine() {
+    m_store.SetMode(FakeStore::Mode::kUnavailable);
+    CrashServers(kCrashesToQuarantine);
+    for (Fragile& server : m_servers) server.vm->node.reset();
+    m_store.SetMode(FakeStore::Mode::kHealthy);
+    for (Fragile& server : m_servers) StartNode(*server.vm);
+    for (Fragile& server : m_servers) {
+      SendHeartbeat(*server.vm, IdOf(server), "ready", server.lifetime);
+      ASSERT_TRUE(CallUntil(*server.vm, "/parts/3", kHttpOk));
+    }
+    // Each node knows all others.
+    RunFor(m_loop, milliseconds(1'500));
+  }
+
+  std::vector<std::unique_ptr<FakeClient>> SendPoisonEverywhere() {
+    std::vector<std::unique_ptr<FakeClient>> calls;
+    for (Fragile& entry : m_servers) {
+      calls.push_back(Send(entry.vm->settings.listen.caller_port, "GET", kPoisonPath,
+                           CallHeaders("poison-" + std::to_string(++m_calls))));
+    }
+    return calls;
+  }
+};
+
+TEST_F(LostQuarantine, RequestCrashesAtMostThreeServersAgain) {
+  LoseQuarantine();
+  size_t before = PoisonRuns();
+  for (int i = 0; i < 4; ++i) {
+    auto calls = SendPoisonEverywhere();
+    RunFor(m_loop, 3 * kTimeToRestart);
+    for (auto& call : calls) EXPECT_NE(call->status(), kHttpOk);
+  }
+  EXPECT_LE(PoisonRuns() - before, kCrashesToQuarantine);
+}
+
+// A request that no server has answered yet runs once at a time on a node, and then without limit.
+TEST_F(LostQuarantine, InnocentRequestsAreServed) {
+  LoseQuarantine();
+  for (int i = 0; i < 30; ++i) {
+    Fragile& entry = m_servers[static_cast<size_t>(i) % kNodes];
+    EXPECT_EQ(Call(*entry.vm, "/parts/new-" + std::to_string(i), "new")->status(), kHttpOk) << i;
+  }
+  std::vector<std::unique_ptr<FakeClient>> popular;
+  for (int i = 0; i < 40; ++i) {
+    Fragile& entry = m_servers[static_cast<size_t>(i) % kNodes];
+    popular.push_back(Send(entry.vm->settings.listen.caller_port, "GET", "/parts/3",
+                           CallHeaders("popular-" + std::to_string(i))));
+  }
+  for (auto& call : popular) {
+    ASSERT_TRUE(RunUntil(m_loop, [&] { return call->HasCompleteAnswer(); }));
+    EXPECT_EQ(call->status(), kHttpOk);
+  }
+}
+
+// A node that restarts alone learns from the others that nothing is lost.
+TEST_F(LostQuarantine, RestartOfOneNodeLimitsNothing) {
+  Vm& vm = *m_servers[4].vm;
+  vm.node.reset();
+  StartNode(vm);
+  auto is_active = [&](std::string_view value) {
+    auto metrics = SendAndWait(vm.settings.listen.admin_port, "GET", "/metrics");
+    return metrics->body().find("crash_containment_active " + std::string(value)) !=
+           std::string::npos;
+  };
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return is_active("1"); }));
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return is_active("0"); }));
+}
+
 // A server that loses answers, or closes connections because it is full, has not crashed.
 TEST_F(PoisonRequest, LostAnswersAreNotBlamedOnTheRequest) {
   size_t runs = 0;
