--- a/src/server_check.cc
+++ b/src/server_check.cc
@@ -54,9 +54,8 @@
   UpstreamRequest request{.method = EVHTTP_REQ_GET,
                           .uri = std::string(health_path),
                           .max_idle = std::chrono::milliseconds(0)};
-  m_query =
-      std::make_unique<HttpQuery>(m_loop, m_connections, std::move(request), kCheckTimeout,
-                                  [this](const std::optional<HttpReply>& r) { OnReply(r); });
+  m_query = std::make_unique<HttpQuery>(m_loop, m_connections, std::move(request), kCheckTimeout,
+                                        [this](const std::optional<HttpReply>& r) { OnReply(r); });
 }
 
 void ServerCheck::OnReply(const std::optional<HttpReply>& reply) {
--- a/src/suspect_codec.cc
+++ b/src/suspect_codec.cc
@@ -48,9 +48,9 @@
   for (const pb::CrashSuspect& entry : message.suspects()) {
     if (!IsValid(entry)) return fail("crash suspect: field out of range");
     decoded.suspects.push_back({.fingerprint = entry.fingerprint(),
-                        .crashes = {entry.crashes().begin(), entry.crashes().end()},
-                        .is_cleared = entry.is_cleared(),
-                        .quarantine_left_ms = entry.quarantine_left_ms()});
+                                .crashes = {entry.crashes().begin(), entry.crashes().end()},
+                                .is_cleared = entry.is_cleared(),
+                                .quarantine_left_ms = entry.quarantine_left_ms()});
   }
   return decoded;
 }
--- a/src/suspect_relay.cc
+++ b/src/suspect_relay.cc
@@ -18,8 +18,8 @@
 }  // namespace
 
 SuspectRelay::SuspectRelay(EventLoop& loop, const NodeSettings& node, PeerClient& peers,
-                           CrashBlame& blame, CrashContainment& containment,
-                           Metrics& metrics, RandomSource& random, Handler handler)
+                           CrashBlame& blame, CrashContainment& containment, Metrics& metrics,
+                           RandomSource& random, Handler handler)
     : m_loop(loop),
       m_name(node.name),
       m_service(node.service),
@@ -137,8 +137,8 @@
 
 std::string SuspectRelay::Encode(std::vector<CrashSuspect> suspects) const {
   bool is_complete = !m_containment.IsActive(EventLoop::NowUs());
-  return EncodeSuspects({.suspects = std::move(suspects),
-                         .complete_for_ms = is_complete ? UptimeMs() : 0});
+  return EncodeSuspects(
+      {.suspects = std::move(suspects), .complete_for_ms = is_complete ? UptimeMs() : 0});
 }
 
 // What a process of an earlier start knows has not been lost. Processes that started at about the
@@ -146,8 +146,8 @@
 void SuspectRelay::EndContainment(int64_t complete_for_ms, std::string_view source) {
   if (!m_containment.IsActive(EventLoop::NowUs())) return;
   if (complete_for_ms < UptimeMs() + kMinAgeDifference.count()) return;
-  LOG(INFO) << "event=containment_ended source=" << source
-            << " complete_for_ms=" << complete_for_ms << " uptime_ms=" << UptimeMs();
+  LOG(INFO) << "event=containment_ended source=" << source << " complete_for_ms=" << complete_for_ms
+            << " uptime_ms=" << UptimeMs();
   m_containment.End();
 }
 
--- a/src/suspect_relay.h
+++ b/src/suspect_relay.h
@@ -34,7 +34,8 @@
       std::function<void(const std::vector<std::string>& fingerprints, std::string_view source)>;
 
   SuspectRelay(EventLoop& loop, const NodeSettings& node, PeerClient& peers, CrashBlame& blame,
-               CrashContainment& containment, Metrics& metrics, RandomSource& random, Handler handler);
+               CrashContainment& containment, Metrics& metrics, RandomSource& random,
+               Handler handler);
   SuspectRelay(const SuspectRelay&) = delete;
   SuspectRelay& operator=(const SuspectRelay&) = delete;
 
--- a/test/platform/poison_request_test.cc
+++ b/test/platform/poison_request_test.cc
@@ -230,8 +230,8 @@
   EXPECT_TRUE(RunUntil(m_loop, is_stored));
 }
 
-// The quarantine was found out while the store was away, so nothing has stored it, and all processes
-// that knew of it are lost. All nodes then send the request at the same moment.
+// The quarantine was found out while the store was away, so nothing has stored it, and all
+// processes that knew of it are lost. All nodes then send the request at the same moment.
 class LostQuarantine : public PoisonRequest {
  protected:
   void LoseQuarantine() {
--- a/test/platform/server_leaving_test.cc
+++ b/test/platform/server_leaving_test.cc
@@ -102,8 +102,8 @@
   ExpectNoWorkAfterARestart();
 }
 
-// The leave was acknowledged while the store was away, so nothing has stored it, and nobody has sent
-// a request since, so no entry node knows it. The server still serves.
+// The leave was acknowledged while the store was away, so nothing has stored it, and nobody has
+// sent a request since, so no entry node knows it. The server still serves.
 class UnstoredLeaveTest : public ServerLeavingTest {
  protected:
   void LeaveDuringAnOutage() {
