Let the nodes of a request's shard store its quarantine too

A quarantine found while the store was away was stored only by the node that had seen the third crash.

Cause: only quarantines with the own server as their source were handed to the store.

Change: the three nodes of the request's shard among all nodes store it too.

--- a/src/crash_containment.cc
+++ b/src/crash_containment.cc
@@ -66,9 +66,10 @@
 Shard ShardOf(std::string_view fingerprint, const EndpointList& endpoints,
               std::string_view service) {
   std::vector<std::pair<uint64_t, std::string_view>> ranked;
-  for (size_t index : endpoints.OfService(service)) {
-    const Endpoint& endpoint = endpoints.all()[index];
-    if (!endpoint.draining) ranked.emplace_back(RankOf(fingerprint, endpoint.node), endpoint.node);
+  for (const Endpoint& endpoint : endpoints.all()) {
+    bool is_wanted = service.empty() || endpoint.service == service;
+    if (!is_wanted || endpoint.draining) continue;
+    ranked.emplace_back(RankOf(fingerprint, endpoint.node), endpoint.node);
   }
   std::sort(ranked.begin(), ranked.end());
   Shard shard;
--- a/src/crash_containment.h
+++ b/src/crash_containment.h
@@ -2,6 +2,7 @@
 // of earlier processes may be lost. Performs no I/O; the caller passes in the time.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -52,12 +53,15 @@
   Fingerprints m_crashed_here;
 };
 
-// The nodes of `service` that the request may be sent to, and those that it may not be sent to.
-// Draining nodes belong to neither.
+// The nodes that are responsible for a request, and the others. Draining nodes belong to neither.
 struct Shard {
   std::vector<std::string> nodes;
   std::vector<std::string> other_nodes;
+  bool Contains(std::string_view node) const {
+    return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+  }
 };
+// Of the nodes of `service`; empty: of all nodes.
 Shard ShardOf(std::string_view fingerprint, const EndpointList& endpoints,
               std::string_view service);
 
--- a/test/platform/poison_request_test.cc
+++ b/test/platform/poison_request_test.cc
@@ -60,6 +60,7 @@
 
   void Crash(Fragile& server) {
     ++m_crashes;
+    m_crashed.push_back(&server);
     server.vm->server->Crash();
     server.restart_timer->Start(kTimeToRestart);
   }
@@ -103,6 +104,7 @@
 
   std::deque<Fragile> m_servers;
   size_t m_crashes = 0;
+  std::vector<Fragile*> m_crashed;  // In order.
   int m_calls = 0;
 };
 
@@ -230,6 +232,21 @@
   EXPECT_TRUE(RunUntil(m_loop, is_stored));
 }
 
+// The node that has found out the quarantine is lost before the store is back. Other nodes know of
+// the quarantine and store it.
+TEST_F(PoisonRequest, QuarantineIsStoredByOtherNodesIfItsFinderIsLost) {
+  m_store.SetMode(FakeStore::Mode::kUnavailable);
+  CrashServers(kCrashesToQuarantine);
+  // The third crash starts the quarantine; a retry may have crashed a fourth server since.
+  for (size_t i = kCrashesToQuarantine - 1; i < m_crashed.size(); ++i) {
+    m_crashed[i]->vm->node.reset();
+  }
+  m_store.SetMode(FakeStore::Mode::kHealthy);
+  EXPECT_TRUE(RunUntil(
+      m_loop, [&] { return !m_store.NamesOf("guavatrail-quarantines").empty(); },
+      milliseconds(3'000)));
+}
+
 // The quarantine was found out while the store was away, so nothing has stored it, and all
 // processes that knew of it are lost. All nodes then send the request at the same moment.
 class LostQuarantine : public PoisonRequest {
