--- a/test/platform/large_answer_keeps_route_open_test.cc
+++ b/test/platform/large_answer_keeps_route_open_test.cc
@@ -62,6 +62,55 @@
   EXPECT_EQ(CallUsual(10), 10);
 }
 
+// All servers of the service have learned the size of a large answer, and the entry node has no
+// server of the service, so every request comes to them as an offer first.
+class LargeAnswersOfAllServers : public MeshFixture {
+ protected:
+  void SetUp() override {
+    m_entry = &AddVm("front");
+    for (int i = 0; i < 2; ++i) {
+      Vm& vm = AddVm("manuais");
+      vm.settings.listen.link_mbps = kSlowLinkMbps;
+      vm.node.reset();
+      StartNode(vm);
+      m_servers.push_back(&vm);
+    }
+    PutConfig(7, "manuais");
+    for (size_t i = 0; i < m_servers.size(); ++i) {
+      ASSERT_EQ(SendHeartbeat(*m_servers[i], "i-" + std::to_string(i)), 200);
+    }
+    ASSERT_TRUE(CallUntil(*m_entry, "/parts/1", 200));
+    RunFor(m_loop, std::chrono::milliseconds(500));
+  }
+
+  void AnswerWith(size_t bytes) {
+    for (Vm* vm : m_servers) {
+      vm->handler = [bytes](FakeConnection& c, const std::string& request) {
+        c.Send(ServerAnswer(request, std::string(bytes, 'x')));
+      };
+    }
+  }
+
+  Vm* m_entry = nullptr;
+  std::vector<Vm*> m_servers;
+};
+
+TEST_F(LargeAnswersOfAllServers, RouteStaysOpenForOtherNodes) {
+  // Calls of the VMs themselves reach both servers, each of which sends several large answers.
+  AnswerWith(kLargeBytes);
+  for (int i = 0; i < 8; ++i) {
+    Call(*m_servers[static_cast<size_t>(i) % 2], "/parts/large", "large-" + std::to_string(i));
+    RunFor(m_loop, std::chrono::milliseconds(400));
+  }
+  for (Vm* vm : m_servers) ASSERT_FALSE(vm->requests.empty());
+  AnswerWith(kUsualBytes);
+  int served = 0;
+  for (int i = 0; i < 10; ++i) {
+    served += Call(*m_entry, "/parts/usual", "usual-" + std::to_string(i))->status() == 200 ? 1 : 0;
+  }
+  EXPECT_EQ(served, 10);
+}
+
 TEST(LargeAnswerEstimate, OneLargeAnswerAmongUsualOnesDoesNotCountForLong) {
   AnswerSizeEstimator sizes;
   sizes.Add("download", kLargeBytes);
