--- a/test/correctness/crash_containment_test.cc
+++ b/test/correctness/crash_containment_test.cc
@@ -13,6 +13,7 @@
 
 EndpointList MakeEndpoints(int count, const std::string& service = "shop") {
   std::vector<Endpoint> endpoints;
+  endpoints.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     endpoints.push_back({.node = "node-" + std::to_string(i), .service = service});
   }
--- a/test/platform/poison_request_test.cc
+++ b/test/platform/poison_request_test.cc
@@ -267,6 +267,7 @@
 
   std::vector<std::unique_ptr<FakeClient>> SendPoisonEverywhere() {
     std::vector<std::unique_ptr<FakeClient>> calls;
+    calls.reserve(kNodes);
     for (Fragile& entry : m_servers) {
       calls.push_back(Send(entry.vm->settings.listen.caller_port, "GET", kPoisonPath,
                            CallHeaders("poison-" + std::to_string(++m_calls))));
@@ -293,8 +294,10 @@
     Fragile& entry = m_servers[static_cast<size_t>(i) % kNodes];
     EXPECT_EQ(Call(*entry.vm, "/parts/new-" + std::to_string(i), "new")->status(), kHttpOk) << i;
   }
+  constexpr int kPopularCalls = 40;
   std::vector<std::unique_ptr<FakeClient>> popular;
-  for (int i = 0; i < 40; ++i) {
+  popular.reserve(kPopularCalls);
+  for (int i = 0; i < kPopularCalls; ++i) {
     Fragile& entry = m_servers[static_cast<size_t>(i) % kNodes];
     popular.push_back(Send(entry.vm->settings.listen.caller_port, "GET", "/parts/3",
                            CallHeaders("popular-" + std::to_string(i))));
