--- a/src/server_check.cc
+++ b/src/server_check.cc
@@ -35,10 +35,9 @@
   std::string_view answering_id = HeaderValue(reply->headers, protocol.server_id_header);
   if (!answering_id.empty() && answering_id != server_id) return ServerCheckResult::kOtherServer;
   if (ParseServerNotice(protocol, reply->headers).is_leaving) return ServerCheckResult::kLeaving;
-  // A server that leaves states it in its rejections too.
-  bool is_busy = FindHeader(reply->headers, protocol.not_run_header) != nullptr;
-  return reply->status == kHttpOk || is_busy ? ServerCheckResult::kInService
-                                             : ServerCheckResult::kNotInService;
+  // A rejection by a full server does not tell: not every server states its leave in all answers.
+  return reply->status == kHttpOk ? ServerCheckResult::kInService
+                                  : ServerCheckResult::kNotInService;
 }
 
 ServerCheck::ServerCheck(EventLoop& loop, ConnectionPool& connections,
--- a/src/server_check.h
+++ b/src/server_check.h
@@ -17,10 +17,10 @@
 namespace guavatrail {
 
 enum class ServerCheckResult {
-  kInService,     // The server answers with success, or rejects the check because it is full.
+  kInService,
   kLeaving,       // The server states that it is about to stop.
   kOtherServer,   // Another server answers at the address.
-  kNotInService,  // The server answers with a failure: it is leaving or failing.
+  kNotInService,  // The server answers with a failure: it is leaving, failing or full.
   kNoAnswer,
 };
 
--- a/test/correctness/server_check_test.cc
+++ b/test/correctness/server_check_test.cc
@@ -25,9 +25,9 @@
   EXPECT_EQ(Evaluate(404, {}), ServerCheckResult::kNotInService);
 }
 
-// A full server rejects the check like any other request.
-TEST(ServerCheckTest, RejectionMeansInService) {
-  EXPECT_EQ(Evaluate(503, {{"X-Rejected", "1"}}), ServerCheckResult::kInService);
+// A full server rejects the check like any other request, and may be leaving all the same.
+TEST(ServerCheckTest, RejectionDoesNotMeanInService) {
+  EXPECT_EQ(Evaluate(503, {{"X-Rejected", "1"}}), ServerCheckResult::kNotInService);
 }
 
 TEST(ServerCheckTest, StatedLeaveCountsInEachAnswer) {
