--- a/test/platform/stop_cuts_no_request_test.cc
+++ b/test/platform/stop_cuts_no_request_test.cc
@@ -76,6 +76,60 @@
   EXPECT_EQ(client->status(), 200);
 }
 
+// Without a time limit of the caller, the timeout of the route counts.
+TEST_F(StopCutsNoRequest, OrderWithoutATimeLimitIsRefusedAsNotRun) {
+  int64_t stop_us = EventLoop::NowUs();
+  m_entry->node->Stop();
+  RunFor(m_loop, kLateInGrace);
+  auto client = Send(m_entry->settings.listen.caller_port, "POST", "/orders/1",
+                     "X-Request-Id: order\r\n", "one");
+  EndEntry(stop_us);
+  ASSERT_TRUE(client->HasCompleteAnswer());
+  EXPECT_EQ(client->status(), 503);
+  EXPECT_TRUE(m_serving->requests.empty());
+}
+
+// The order is accepted just before the stop signal, with a time limit within that of the process.
+TEST_F(StopCutsNoRequest, OrderAcceptedBeforeTheSignalIsServed) {
+  auto client = SendOrder("3000");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_connection != nullptr; }));
+  int64_t stop_us = EventLoop::NowUs();
+  m_entry->node->Stop();
+  EndEntry(stop_us);
+  ASSERT_TRUE(client->HasCompleteAnswer());
+  EXPECT_EQ(client->status(), 200);
+}
+
+// The node that relays the answer and the node beside the server stop at the same moment.
+TEST_F(StopCutsNoRequest, OrderIsServedWhenBothNodesStopTogether) {
+  auto client = SendOrder("3000");
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_connection != nullptr; }));
+  int64_t stop_us = EventLoop::NowUs();
+  m_entry->node->Stop();
+  m_serving->node->Stop();
+  EndEntry(stop_us);
+  ASSERT_TRUE(client->HasCompleteAnswer());
+  EXPECT_EQ(client->status(), 200);
+}
+
+// The body of the order arrives in part before the stop signal and in part after it.
+TEST_F(StopCutsNoRequest, OrderWhoseBodyArrivesDuringTheStopIsAnswered) {
+  auto client = std::make_unique<FakeClient>(
+      m_loop, static_cast<uint16_t>(m_entry->settings.listen.caller_port));
+  client->Send(
+      "POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: order\r\n"
+      "X-Deadline-Ms: 2500\r\nContent-Length: 6\r\n\r\none");
+  RunFor(m_loop, std::chrono::milliseconds(100));
+  int64_t stop_us = EventLoop::NowUs();
+  m_entry->node->Stop();
+  RunFor(m_loop, std::chrono::milliseconds(700));
+  client->Send("two");
+  EndEntry(stop_us);
+  ASSERT_TRUE(client->HasCompleteAnswer());
+  EXPECT_EQ(client->status(), 200);
+  EXPECT_EQ(m_serving->requests.size(), 1U);
+}
+
 // A node that stops must not accept work from other nodes that it would cut off.
 TEST_F(StopCutsNoRequest, ServingNodeRefusesWorkThatCouldOutliveTheProcess) {
   m_serving->settings.lifecycle.grace_s = kGraceS;
