--- a/src/server_check.h
+++ b/src/server_check.h
@@ -4,7 +4,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
