Open the gate for a new configuration only to check the server

What callers saw: nothing yet; found by reading the diff. Since, a new configuration opened the gate of any server that counted as ready, also of one that had broken off three requests in a row and must wait for its next report.

Cause: a new configuration made the node reconsider its server whenever the gate was closed, and not only while the server could not be checked for lack of a health path.

Change: only a server that this process has not found in service is reconsidered; a service without a health path counts as checked.

Evidence: UnreachableServer.GetsNoWorkBecauseOfANewConfig fails on (200 for 503) and passes with the change.

--- a/src/server_check.h
+++ b/src/server_check.h
@@ -42,6 +42,8 @@
   // Checks the server by a request for `health_path`, unless a check of it is in progress. A check
   // of another server in progress is cancelled.
   void Start(const ServerLifetime& server, std::string_view health_path);
+  // Counts the server as in service without a check, since there is no path for one.
+  void Skip(const ServerLifetime& server) { m_passed = server; }
   // Whether a check has found the server in service. It need not be checked again: from then on
   // this process gets all of its reports itself.
   bool HasPassed(const ServerLifetime& server) const { return m_passed == server; }
