Treat a status outside 100 to 599 as no answer

What callers saw: an answer of a backend server with status 600 or 999 reached the caller of an idempotent request as it was. After a status of 000, 0, 001 or 099 on a connection that stays open, the caller waited until its deadline.

Cause: every number of three digits counted as a status, and one below 200 as that of an interim answer, after which another one was awaited.

Change: HttpReader rejects a head whose status is not from 100 to 599; the exchange ends at once as broken.

Evidence: AnswerStatusRange.StatusOutsideTheRangeIsNoAnswer fails before the change (no answer within 5 s for 000) and passes with it.

--- a/src/http_reader.cc
+++ b/src/http_reader.cc
@@ -11,7 +11,9 @@
 
 namespace {
 
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 // Limits on interim answers and on empty lines before a message. A peer that sends them without
 // end would keep the reader busy forever.
 constexpr int kMaxInterimAnswers = 16;
@@ -218,8 +220,9 @@
   return is_answer_to_head ? kNoBody : 0;
 }
 
-// Checks rules that http_parser does not enforce: unambiguous body framing and, for requests, at
-// most one Host header (which HTTP/1.1 requires) and a supported method.
+// Checks rules that http_parser does not enforce: unambiguous body framing; for answers, a status
+// that exists; and for requests, at most one Host header (which HTTP/1.1 requires) and a supported
+// method.
 bool HttpReader::Impl::CheckHead() {
   if (parser.http_major != 1) return false;
   int lengths = CountOf(head.headers, "Content-Length");
@@ -229,7 +232,8 @@
       head.framing != BodyFraming::kNone) {
     return false;
   }
-  if (kind == Kind::kAnswer) return true;
+  // A status below 100 would count as that of an interim answer.
+  if (kind == Kind::kAnswer) return head.status >= kFirstStatus && head.status <= kLastStatus;
   if (encodings == 1 && head.framing != BodyFraming::kChunked) return false;
   int hosts = CountOf(head.headers, "Host");
   if (hosts > 1 || (hosts == 0 && head.minor_version >= 1)) return false;
