Identify the workspace of a request by its API key

What callers saw: on a deployment with workspaces, requests without a key, with an unknown key or with a withdrawn one were run. The key reached the backend server, as did a workspace name that the caller had made up.

Change: a workspace (name, API keys, importance, quota) is a resource of the configuration, in release notes and in the users' configuration alike; a route may be public. The entry node answers 401 for a request without a valid key on any other route, and 503 while it has no configuration. It removes the key and sends the name of the workspace to the backend server, and name, importance and weight to the serving node. Keys are looked up in the configuration in force, so a withdrawn key also ends on open connections. A key in two workspaces and a negative rate or burst make the configuration invalid.

Without workspaces in the configuration, requests are forwarded as before.

Evidence: ApiKeyIdentifiesWorkspace.*, ApiKeys.*, WorkspaceTags.*.

--- a/src/config_codec.cc
+++ b/src/config_codec.cc
@@ -46,6 +46,7 @@
       out.mutable_route()->set_service(r.service);
       out.mutable_route()->set_work(r.work);
       out.mutable_route()->set_host(r.host);
+      out.mutable_route()->set_is_public(r.is_public);
       for (const RouteShare& share : r.shares) {
         pb::RouteShare* added = out.mutable_route()->add_shares();
         added->set_service(share.service);
@@ -53,6 +54,16 @@
       }
       return out;
     }
+    pb::Resource operator()(const Workspace& r) const {
+      pb::Resource out;
+      pb::Workspace* workspace = out.mutable_workspace();
+      workspace->set_name(r.name);
+      for (const std::string& key : r.api_keys) workspace->add_api_keys(key);
+      workspace->set_importance(r.importance);
+      workspace->set_rate_per_s(r.rate_per_s);
+      workspace->set_burst(r.burst);
+      return out;
+    }
   };
   return std::visit(Visitor{}, resource);
 }
@@ -72,12 +83,20 @@
     }
     case pb::Resource::kRoute: {
       const pb::Route& r = message.route();
-      Route route{r.name(), r.path_prefix(), r.service(), r.work(), r.host(), {}};
+      Route route{r.name(), r.path_prefix(), r.service(), r.work(), r.host(), {}, r.is_public()};
       for (const pb::RouteShare& share : r.shares()) {
         route.shares.push_back({share.service(), share.weight()});
       }
       return route;
     }
+    case pb::Resource::kWorkspace: {
+      const pb::Workspace& r = message.workspace();
+      return Workspace{r.name(),
+                       {r.api_keys().begin(), r.api_keys().end()},
+                       r.importance(),
+                       r.rate_per_s(),
+                       r.burst()};
+    }
     case pb::Resource::RESOURCE_NOT_SET:
       break;
   }
@@ -127,6 +146,9 @@
     case ResourceType::kRoute:
       out.set_type(pb::RESOURCE_TYPE_ROUTE);
       break;
+    case ResourceType::kWorkspace:
+      out.set_type(pb::RESOURCE_TYPE_WORKSPACE);
+      break;
   }
   out.set_name(ref.name);
   return out;
@@ -140,6 +162,8 @@
       return ResourceRef{ResourceType::kWorkKind, message.name()};
     case pb::RESOURCE_TYPE_ROUTE:
       return ResourceRef{ResourceType::kRoute, message.name()};
+    case pb::RESOURCE_TYPE_WORKSPACE:
+      return ResourceRef{ResourceType::kWorkspace, message.name()};
     default:
       return Fail("resource reference: unknown resource type");
   }
--- a/src/config_table.cc
+++ b/src/config_table.cc
@@ -15,6 +15,8 @@
 }
 
 constexpr std::string_view kNameAllowed = "a name of 1 to 63 characters a-z, 0-9 and -";
+constexpr std::string_view kWorkspaceNameAllowed =
+    "a name of 1 to 63 characters a-z, A-Z, 0-9, ., _ and -";
 
 bool IsText(std::string_view text) { return text.size() <= kMaxTextLength; }
 
@@ -98,6 +100,54 @@
   return {};
 }
 
+tl::expected<void, ConfigError> ValidateValues(const Workspace& workspace) {
+  ResourceRef ref{ResourceType::kWorkspace, workspace.name};
+  if (workspace.api_keys.size() > kMaxApiKeys) {
+    return Fail(Code::kInvalidValue, ref,
+                "api_keys has " + std::to_string(workspace.api_keys.size()) +
+                    " keys, allowed are at most " + std::to_string(kMaxApiKeys));
+  }
+  for (const std::string& key : workspace.api_keys) {
+    if (IsApiKey(key)) continue;
+    return Fail(Code::kInvalidValue, ref,
+                "api_keys: a key has " + std::to_string(key.size()) + " bytes, allowed are 1 to " +
+                    std::to_string(kMaxApiKeyLength) + " visible ASCII characters");
+  }
+  if (workspace.importance < 0 || workspace.importance > kMaxImportance) {
+    return Fail(Code::kInvalidValue, ref,
+                "importance is " + std::to_string(workspace.importance) +
+                    ", allowed is an integer from 0 to " + std::to_string(kMaxImportance));
+  }
+  if (!IsQuotaValue(workspace.rate_per_s)) {
+    return Fail(Code::kInvalidValue, ref,
+                "rate_per_s is " + std::to_string(workspace.rate_per_s) +
+                    ", allowed is a number from 0 to 1e9");
+  }
+  if (!IsQuotaValue(workspace.burst)) {
+    return Fail(
+        Code::kInvalidValue, ref,
+        "burst is " + std::to_string(workspace.burst) + ", allowed is a number from 0 to 1e9");
+  }
+  return {};
+}
+
+// Fails if a key belongs to two workspaces or is listed twice.
+tl::expected<void, ConfigError> ValidateKeys(
+    const std::map<std::string, Workspace, std::less<>>& workspaces) {
+  std::map<std::string_view, std::string_view> owners;
+  for (const auto& [name, workspace] : workspaces) {
+    for (const std::string& key : workspace.api_keys) {
+      auto [other, inserted] = owners.emplace(key, name);
+      if (inserted) continue;
+      // The message must not contain the key, since it is logged.
+      return Fail(Code::kDuplicate, {ResourceType::kWorkspace, name},
+                  "api_keys: a key is already used by workspace/" + std::string(other->second),
+                  ResourceRef{ResourceType::kWorkspace, std::string(other->second)});
+    }
+  }
+  return {};
+}
+
 std::string_view TypeName(ResourceType type) {
   switch (type) {
     case ResourceType::kService:
@@ -106,10 +156,19 @@
       return "work";
     case ResourceType::kRoute:
       return "route";
+    case ResourceType::kWorkspace:
+      return "workspace";
   }
   return "unknown";
 }
 
+tl::expected<void, ConfigError> ValidateName(const ResourceRef& ref) {
+  bool is_workspace = ref.type == ResourceType::kWorkspace;
+  if (is_workspace ? IsWorkspaceName(ref.name) : IsConfigName(ref.name)) return {};
+  return Fail(Code::kInvalidValue, ref,
+              "allowed is " + std::string(is_workspace ? kWorkspaceNameAllowed : kNameAllowed));
+}
+
 }  // namespace
 
 ResourceRef RefOf(const Resource& resource) {
@@ -117,6 +176,7 @@
     ResourceRef operator()(const Service& r) const { return {ResourceType::kService, r.name}; }
     ResourceRef operator()(const WorkKind& r) const { return {ResourceType::kWorkKind, r.name}; }
     ResourceRef operator()(const Route& r) const { return {ResourceType::kRoute, r.name}; }
+    ResourceRef operator()(const Workspace& r) const { return {ResourceType::kWorkspace, r.name}; }
   };
   return std::visit(Visitor{}, resource);
 }
@@ -155,10 +215,7 @@
 }
 
 tl::expected<void, ConfigError> ValidateResource(const Resource& resource) {
-  ResourceRef ref = RefOf(resource);
-  if (!IsConfigName(ref.name)) {
-    return Fail(Code::kInvalidValue, ref, "allowed is " + std::string(kNameAllowed));
-  }
+  if (auto valid = ValidateName(RefOf(resource)); !valid) return valid;
   return std::visit([](const auto& r) { return ValidateValues(r); }, resource);
 }
 
@@ -197,9 +254,7 @@
     }
   }
   for (const ResourceRef& ref : note.withdrawn) {
-    if (!IsConfigName(ref.name)) {
-      return Fail(Code::kInvalidValue, ref, "allowed is " + std::string(kNameAllowed));
-    }
+    if (auto valid = ValidateName(ref); !valid) return valid;
   }
   return {};
 }
@@ -214,6 +269,11 @@
   return it == m_work_kinds.end() ? nullptr : &it->second;
 }
 
+const Workspace* ConfigTable::FindWorkspaceByKey(std::string_view api_key) const {
+  auto name = m_workspaces_by_key.find(api_key);
+  return name == m_workspaces_by_key.end() ? nullptr : &m_workspaces.find(name->second)->second;
+}
+
 // Prefixes match whole segments only, so that /manuais does not match /manuais-antigos. The
 // candidates are therefore the path itself and each leading part that ends at a slash, with and
 // without the slash.
@@ -269,7 +329,7 @@
                   ResourceRef{ResourceType::kRoute, std::string(other->second)});
     }
   }
-  return {};
+  return ValidateKeys(m_workspaces);
 }
 
 bool ConfigTable::Contains(const ResourceRef& ref) const {
@@ -280,6 +340,8 @@
       return m_work_kinds.contains(ref.name);
     case ResourceType::kRoute:
       return m_routes.contains(ref.name);
+    case ResourceType::kWorkspace:
+      return m_workspaces.contains(ref.name);
   }
   return false;
 }
@@ -294,6 +356,11 @@
       table.m_routes[r.name] = r;
       table.m_prefixes[r.host][r.path_prefix] = r.name;
     }
+    void operator()(const Workspace& r) const {
+      table.Erase(RefOf(r));
+      table.m_workspaces[r.name] = r;
+      for (const std::string& key : r.api_keys) table.m_workspaces_by_key[key] = r.name;
+    }
   };
   std::visit(Visitor{*this}, resource);
 }
@@ -309,6 +376,9 @@
     case ResourceType::kRoute:
       EraseRoute(ref.name);
       break;
+    case ResourceType::kWorkspace:
+      EraseWorkspace(ref.name);
+      break;
   }
 }
 
@@ -323,6 +393,19 @@
   m_routes.erase(route);
 }
 
+void ConfigTable::EraseWorkspace(const std::string& name) {
+  auto workspace = m_workspaces.find(name);
+  if (workspace == m_workspaces.end()) return;
+  for (const std::string& key : workspace->second.api_keys) {
+    auto owner = m_workspaces_by_key.find(key);
+    // Another workspace of the same note may already have taken over the key.
+    if (owner != m_workspaces_by_key.end() && owner->second == name) {
+      m_workspaces_by_key.erase(owner);
+    }
+  }
+  m_workspaces.erase(workspace);
+}
+
 tl::expected<ConfigTable, ConfigError> ConfigTable::Apply(const ReleaseNote& note) const {
   if (auto valid = ValidateNote(note); !valid) return tl::make_unexpected(valid.error());
   ConfigTable next = SkipVersion();
@@ -363,6 +446,7 @@
   compare(before.m_services, m_services, ResourceType::kService);
   compare(before.m_work_kinds, m_work_kinds, ResourceType::kWorkKind);
   compare(before.m_routes, m_routes, ResourceType::kRoute);
+  compare(before.m_workspaces, m_workspaces, ResourceType::kWorkspace);
   return note;
 }
 
@@ -393,10 +477,12 @@
 
 std::vector<Resource> ConfigTable::Resources() const {
   std::vector<Resource> resources;
-  resources.reserve(m_services.size() + m_work_kinds.size() + m_routes.size());
+  resources.reserve(m_services.size() + m_work_kinds.size() + m_routes.size() +
+                    m_workspaces.size());
   for (const auto& [name, service] : m_services) resources.emplace_back(service);
   for (const auto& [name, work] : m_work_kinds) resources.emplace_back(work);
   for (const auto& [name, route] : m_routes) resources.emplace_back(route);
+  for (const auto& [name, workspace] : m_workspaces) resources.emplace_back(workspace);
   return resources;
 }
 
--- a/src/config_table.h
+++ b/src/config_table.h
@@ -13,6 +13,8 @@
 #include <variant>
 #include <vector>
 
+#include "workspace.h"
+
 namespace guavatrail {
 
 // A service of backend servers and its service-level objective.
@@ -67,6 +69,8 @@
   // When not empty, requests are split among these services by weight, and `service`
   // is not used for routing but must exist.
   std::vector<RouteShare> shares;
+  // Requests need no API key, even if the configuration has workspaces.
+  bool is_public = false;
   bool operator==(const Route&) const = default;
 };
 
@@ -79,9 +83,9 @@
   bool operator==(const CallerLimits&) const = default;
 };
 
-using Resource = std::variant<Service, WorkKind, Route>;
+using Resource = std::variant<Service, WorkKind, Route, Workspace>;
 
-enum class ResourceType { kService, kWorkKind, kRoute };
+enum class ResourceType { kService, kWorkKind, kRoute, kWorkspace };
 
 // Reference to a resource by type and name; names are unique within a type.
 struct ResourceRef {
@@ -95,7 +99,7 @@
 };
 
 ResourceRef RefOf(const Resource& resource);
-// "service/catalogo", "work/lookup" or "route/pecas".
+// "service/catalogo", "work/lookup", "route/pecas" or "workspace/loja-4".
 std::string ToString(const ResourceRef& ref);
 
 // A change of the configuration that is applied atomically.
@@ -154,12 +158,16 @@
   const std::map<std::string, WorkKind, std::less<>>& work_kinds() const { return m_work_kinds; }
   const std::map<std::string, Route, std::less<>>& routes() const { return m_routes; }
 
+  const std::map<std::string, Workspace, std::less<>>& workspaces() const { return m_workspaces; }
+
   const CallerLimits& limits() const { return m_limits; }
   void SetLimits(const CallerLimits& limits) { m_limits = limits; }
 
   // Null when absent.
   const Service* FindService(std::string_view name) const;
   const WorkKind* FindWorkKind(std::string_view name) const;
+  // The workspace that `api_key` belongs to; null when absent.
+  const Workspace* FindWorkspaceByKey(std::string_view api_key) const;
   // The route for `host`, or else for any host, with the longest path prefix that matches whole
   // segments of `path`; null when none matches. `path` must not contain the query.
   const Route* MatchRoute(std::string_view path, std::string_view host = {}) const;
@@ -191,12 +199,16 @@
   void Put(const Resource& resource);
   void Erase(const ResourceRef& ref);
   void EraseRoute(const std::string& name);
+  void EraseWorkspace(const std::string& name);
 
   uint64_t m_version = 0;
   CallerLimits m_limits;
   std::map<std::string, Service, std::less<>> m_services;
   std::map<std::string, WorkKind, std::less<>> m_work_kinds;
   std::map<std::string, Route, std::less<>> m_routes;
+  std::map<std::string, Workspace, std::less<>> m_workspaces;
+  // Names of workspaces by API key.
+  std::map<std::string, std::string, std::less<>> m_workspaces_by_key;
   // Names of routes by host and path prefix.
   std::map<std::string, std::map<std::string, std::string, std::less<>>, std::less<>> m_prefixes;
 };
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "caller_identity.h"
 #include "downstream_request.h"
 #include "event_loop.h"
 #include "http_headers.h"
@@ -64,6 +65,10 @@
   std::string last_reason;      // Why the latest attempt failed; empty if it succeeded.
   uint64_t config_version = 0;  // Version in force when the call arrived.
   WorkTag work;
+  WorkspaceTag workspace;
+  // Whether the configuration has workspaces, so that the headers of the caller that concern them
+  // are not forwarded.
+  bool has_workspaces = false;
   int64_t deadline_us = 0;
   std::optional<OrderKey> key;
   // Nodes that are not selected: those that were tried, except after a refused offer, and those
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -146,6 +146,11 @@
     RefuseRequest(std::move(request), kHttpNotFound, "no_route");
     return;
   }
+  auto workspace = IdentifyCaller(*table, *route, request->headers(), m_protocol.api_key_header);
+  if (!workspace) {
+    RefuseRequest(std::move(request), kHttpUnauthorized, ToString(workspace.error()));
+    return;
+  }
   int64_t deadline_ms = kind->deadline_ms;
   if (const std::string* text = FindHeader(request->headers(), m_protocol.deadline_header);
       text != nullptr) {
@@ -168,11 +173,12 @@
                   kNoTableRetryAfterMs);
     return;
   }
-  StartCall(std::move(request), *route, *kind, table->version(), deadline_us);
+  StartCall(std::move(request), *table, *route, *kind, *workspace, deadline_us);
 }
 
-void EntryProxy::StartCall(std::unique_ptr<DownstreamRequest> request, const Route& route,
-                           const WorkKind& kind, uint64_t version, int64_t deadline_us) {
+void EntryProxy::StartCall(std::unique_ptr<DownstreamRequest> request, const ConfigTable& table,
+                           const Route& route, const WorkKind& kind, const Workspace* workspace,
+                           int64_t deadline_us) {
   uint64_t id = m_next_id++;
   RunMode mode = ModeOf(kind, request->method());
   auto owned = std::make_unique<EntryCall>(
@@ -184,10 +190,12 @@
   call.request_id = m_id_prefix + std::to_string(id);
   call.service = m_shares.Choose(route, m_random);
   call.route = route.name;
-  call.config_version = version;
+  call.config_version = table.version();
   call.max_attempts = kind.attempts;
   call.objective_ms = kind.objective_ms;
   call.work = {kind.name, kind.importance, kind.is_short, mode};
+  call.workspace = TagOf(workspace);
+  call.has_workspaces = !table.workspaces().empty();
   call.deadline_us = deadline_us;
   call.downstream->SetEndHandler([this, &call](bool written) { OnDownstreamEnd(call, written); });
   int64_t now_us = EventLoop::NowUs();
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -84,8 +84,9 @@
   void RefuseRequest(std::unique_ptr<DownstreamRequest> request, int status,
                      std::string_view reason, int64_t retry_after_ms = 0);
   void SetRetryAfterFor(HeaderList& headers, int64_t retry_after_ms) const;
-  void StartCall(std::unique_ptr<DownstreamRequest> request, const Route& route,
-                 const WorkKind& kind, uint64_t version, int64_t deadline_us);
+  void StartCall(std::unique_ptr<DownstreamRequest> request, const ConfigTable& table,
+                 const Route& route, const WorkKind& kind, const Workspace* workspace,
+                 int64_t deadline_us);
   void LimitToShard(EntryCall& call);
   void OnDownstreamEnd(EntryCall& call, bool written);
   void OnDeadline(EntryCall& call);
@@ -97,6 +98,7 @@
   void StartNextAttempt(EntryCall& call);
   void SendHedge(EntryCall& call);
   void ScheduleHedge(EntryCall& call);
+  void SetWorkspaceHeaders(const EntryCall& call, HeaderList& headers) const;
   UpstreamRequest RequestFor(const EntryCall& call, const Endpoint& server, bool is_offer) const;
   void OnHead(EntryCall& call, EntryAttempt& attempt, const AnswerHead& head);
   bool IsShedByServer(const EntryCall& call, const AnswerHead& head) const;
--- a/src/entry_proxy_attempts.cc
+++ b/src/entry_proxy_attempts.cc
@@ -118,6 +118,17 @@
   return call.downstream->arrival_us() + call.objective_ms * kUsPerMs;
 }
 
+// Replaces what the caller sent: its API key is a secret between it and the mesh, and it may not
+// name a workspace.
+void EntryProxy::SetWorkspaceHeaders(const EntryCall& call, HeaderList& headers) const {
+  if (!call.has_workspaces) return;
+  RemoveHeader(headers, m_protocol.api_key_header);
+  RemoveHeader(headers, m_protocol.workspace_header);
+  if (call.workspace.name.empty()) return;
+  SetHeader(headers, m_protocol.workspace_header, call.workspace.name);
+  SetHeader(headers, kWorkspaceHeader, FormatWorkspaceTag(call.workspace));
+}
+
 UpstreamRequest EntryProxy::RequestFor(const EntryCall& call, const Endpoint& server,
                                        bool is_offer) const {
   HeaderList headers = call.downstream->headers();
@@ -131,6 +142,7 @@
   if (call.objective_ms > 0) {
     SetHeader(headers, kObjectiveHeader, FormatDeadlineMs(ObjectiveUsOf(call), EventLoop::NowUs()));
   }
+  SetWorkspaceHeaders(call, headers);
   if (!m_protocol.caller_service_header.empty()) {
     SetHeader(headers, m_protocol.caller_service_header, m_service);
   }
--- a/src/external_protocol.h
+++ b/src/external_protocol.h
@@ -20,6 +20,10 @@
   std::string expected_server_header;
   // In the answer of a backend server to a health check: the id of the server.
   std::string server_id_header;
+  // In a caller's request: its API key. Not sent to backend servers.
+  std::string api_key_header = "X-Api-Key";
+  // Sent to backend servers: the workspace that the caller's API key belongs to.
+  std::string workspace_header = "X-Workspace";
   // Marks an answer by which a backend server states that it did not run the request.
   std::string not_run_header;
   // In an answer of a backend server: the requests a second that it takes from all nodes together,
--- a/src/http_headers.cc
+++ b/src/http_headers.cc
@@ -137,6 +137,8 @@
       return "OK";
     case kHttpBadRequest:
       return "Bad Request";
+    case kHttpUnauthorized:
+      return "Unauthorized";
     case kHttpNotFound:
       return "Not Found";
     case kHttpRequestTimeout:
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -25,6 +25,8 @@
 // Sent with a refused offer or a refusal because of the link: milliseconds that the request would
 // have to wait.
 inline constexpr char kWaitMsHeader[] = "X-Guavatrail-Wait-Ms";
+// The workspace that a request belongs to; see caller_identity.h. Absent: none.
+inline constexpr char kWorkspaceHeader[] = "X-Guavatrail-Workspace";
 inline constexpr char kIncarnationHeader[] = "X-Guavatrail-Incarnation";
 inline constexpr char kLoadHeader[] = "X-Guavatrail-Load";
 // What the serving node knows from its server's answers and reports; see server_statement.h.
@@ -91,6 +93,7 @@
   kHttpOk = 200,
   kHttpNotModified = 304,
   kHttpBadRequest = 400,
+  kHttpUnauthorized = 401,
   kHttpNotFound = 404,
   kHttpRequestTimeout = 408,
   kHttpConflict = 409,
--- a/src/release_note.cc
+++ b/src/release_note.cc
@@ -12,14 +12,19 @@
 namespace {
 
 constexpr std::string_view kNameAllowed = "a name of 1 to 63 characters a-z, 0-9 and -";
+constexpr std::string_view kWorkspaceNameAllowed =
+    "a name of 1 to 63 characters a-z, A-Z, 0-9, ., _ and -";
 constexpr std::string_view kTextAllowed = "text of at most 1000 bytes";
 constexpr std::string_view kPathAllowed =
     "a path of at most 255 visible ASCII characters that starts with \"/\" and has no \"?\" or "
     "\"#\"";
-constexpr std::string_view kTypeAllowed = "one of \"service\" \"work\" \"route\"";
+constexpr std::string_view kTypeAllowed = "one of \"service\" \"work\" \"route\" \"workspace\"";
 constexpr std::string_view kHostAllowed =
     "a host name of at most 253 characters a-z, 0-9, - and ., or nothing";
 constexpr std::string_view kArrayAllowed = "an array of tables";
+constexpr std::string_view kApiKeysAllowed =
+    "an array of texts of 1 to 255 visible ASCII characters";
+constexpr std::string_view kQuotaAllowed = "a number from 0 to 1e9";
 
 bool IsText(std::string_view text) { return text.size() <= kMaxTextLength; }
 
@@ -75,15 +80,36 @@
     out = *value;
   }
 
-  void Flag(std::string_view key, bool& out) {
+  void Flag(std::string_view key, bool& out, bool required = true) {
     constexpr std::string_view kAllowed = "true or false";
-    const toml::node* node = Get(key, true, kAllowed);
+    const toml::node* node = Get(key, required, kAllowed);
     if (node == nullptr) return;
     auto value = node->value_exact<bool>();
     if (!value) return Refuse(key, *node, kAllowed);
     out = *value;
   }
 
+  // A rate or a burst. Leaves `out` unchanged when the key is absent.
+  void QuotaValue(std::string_view key, double& out) {
+    const toml::node* node = Get(key, false, kQuotaAllowed);
+    if (node == nullptr) return;
+    auto value = node->value<double>();
+    if (!value || !IsQuotaValue(*value)) return Refuse(key, *node, kQuotaAllowed);
+    out = *value;
+  }
+
+  void ApiKeys(std::string_view key, std::vector<std::string>& out) {
+    const toml::node* node = Get(key, true, kApiKeysAllowed);
+    if (node == nullptr) return;
+    const toml::array* array = node->as_array();
+    if (array == nullptr) return Refuse(key, *node, kApiKeysAllowed);
+    for (const toml::node& element : *array) {
+      auto value = element.value_exact<std::string>();
+      if (!value || !IsApiKey(*value)) return Refuse(key, element, kApiKeysAllowed);
+      out.push_back(std::move(*value));
+    }
+  }
+
   // Sets `is_first` to whether the value is `first` rather than `second`. Leaves it unchanged when
   // the key is absent.
   void OneOfTwo(std::string_view key, std::string_view first, std::string_view second,
@@ -192,6 +218,7 @@
   reader.Text("service", route.service, kNameAllowed, IsConfigName);
   reader.Text("work", route.work, kNameAllowed, IsConfigName);
   reader.OptionalText("host", route.host, kHostAllowed, IsHost);
+  reader.Flag("public", route.is_public, false);
   for (const toml::table* table : reader.Tables("shares")) {
     TableReader share_reader(*table, "shares.", reader.file());
     RouteShare share;
@@ -203,10 +230,21 @@
   return route;
 }
 
+Workspace ReadWorkspace(TableReader& reader) {
+  Workspace workspace;
+  reader.Text("name", workspace.name, kWorkspaceNameAllowed, IsWorkspaceName);
+  reader.ApiKeys("api_keys", workspace.api_keys);
+  reader.Number("importance", false, 0, kMaxImportance, workspace.importance);
+  reader.QuotaValue("rate_per_s", workspace.rate_per_s);
+  reader.QuotaValue("burst", workspace.burst);
+  return workspace;
+}
+
 std::optional<ResourceType> TypeOf(std::string_view text) {
   if (text == "service") return ResourceType::kService;
   if (text == "work") return ResourceType::kWorkKind;
   if (text == "route") return ResourceType::kRoute;
+  if (text == "workspace") return ResourceType::kWorkspace;
   return std::nullopt;
 }
 
@@ -227,6 +265,8 @@
     resource = ReadWorkKind(reader);
   } else if (type == ResourceType::kRoute) {
     resource = ReadRoute(reader);
+  } else if (type == ResourceType::kWorkspace) {
+    resource = ReadWorkspace(reader);
   }
   if (auto error = reader.Finish()) return tl::make_unexpected(*error);
   return resource;
@@ -237,7 +277,11 @@
   TableReader reader(table, "withdraw.", file);
   std::optional<ResourceType> type = ReadType(reader);
   ResourceRef ref;
-  reader.Text("name", ref.name, kNameAllowed, IsConfigName);
+  if (type == ResourceType::kWorkspace) {
+    reader.Text("name", ref.name, kWorkspaceNameAllowed, IsWorkspaceName);
+  } else {
+    reader.Text("name", ref.name, kNameAllowed, IsConfigName);
+  }
   if (auto error = reader.Finish()) return tl::make_unexpected(*error);
   ref.type = *type;
   return ref;
