Give workspaces fair shares of a backend server when room is short

What callers saw: admission knew the importance of a work kind, not the workspace.

Change: the queue of the serving node orders requests by the importance of their workspace, then by whether the workspace has used more than its share of the server (FairShare), then as before by work kind and due time. Eviction follows the same order. Requests without a workspace rank with the most important ones. Without workspaces in the configuration the order is as before.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -55,27 +55,26 @@
     Start(request, now_us);
     return Decide(Action::kRun);
   }
+  bool is_late = WouldMiss(ObjectiveOf(request), request, 0, now_us);
+  Rank rank = RankOf(request, is_late, now_us);
   int64_t wait_us = PredictedWaitUs(request, now_us);
+  AdmissionDecision refused{.action = Action::kRefuse,
+                            .retry_after_ms = RetryAfterMs(now_us),
+                            .is_above_share = rank.is_above_share};
   if (request.is_offer) {
-    return {.action = Action::kRefuse,
-            .retry_after_ms = RetryAfterMs(now_us),
-            .wait_ms = wait_us / kUsPerMs + 1};
+    refused.wait_ms = wait_us / kUsPerMs + 1;
+    return refused;
   }
-  bool is_late = WouldMiss(ObjectiveOf(request), request, 0, now_us);
   int64_t limit_us = is_late ? request.deadline_us : AdmissionLimitOf(request, now_us);
-  if (WouldMiss(limit_us, request, wait_us, now_us)) {
-    return {.action = Action::kRefuse, .retry_after_ms = RetryAfterMs(now_us)};
-  }
-  AdmissionDecision decision = Decide(Action::kQueue);
+  if (WouldMiss(limit_us, request, wait_us, now_us)) return refused;
+  AdmissionDecision decision{.action = Action::kQueue, .is_above_share = rank.is_above_share};
   if (static_cast<int>(m_queue.size()) >= m_options.queue_limit) {
     auto last = m_queue.empty() ? m_queue.end() : std::prev(m_queue.end());
-    if (last == m_queue.end() || last->second.importance >= request.importance) {
-      return {.action = Action::kRefuse, .retry_after_ms = RetryAfterMs(now_us)};
-    }
+    if (last == m_queue.end() || !CanEvict(request, rank, last)) return refused;
     decision.evicted.push_back({last->second.id, RetryAfterMs(now_us)});
     Dequeue(last);
   }
-  Enqueue(request, is_late);
+  Enqueue(request, rank);
   return decision;
 }
 
@@ -139,7 +138,7 @@
 }
 
 int64_t SlotAdmission::PredictedWaitUs(const AdmissionRequest& request, int64_t now_us) const {
-  Rank rank = RankOf(request, WouldMiss(ObjectiveOf(request), request, 0, now_us));
+  Rank rank = RankOf(request, WouldMiss(ObjectiveOf(request), request, 0, now_us), now_us);
   int64_t slot_us = SlotWaitUs(request, rank, now_us);
   if (!m_rate_limit.limit_per_s()) return slot_us;
   return std::max(slot_us, m_rate_limit.WaitUs(QueuedBefore(rank), now_us));
@@ -239,7 +238,7 @@
 // could start too ranks before it.
 bool SlotAdmission::CanStartNow(const AdmissionRequest& request, int64_t now_us) const {
   if (!HasSlotFor(request.is_short) || !m_rate_limit.CanSend(now_us)) return false;
-  Rank rank = RankOf(request, WouldMiss(ObjectiveOf(request), request, 0, now_us));
+  Rank rank = RankOf(request, WouldMiss(ObjectiveOf(request), request, 0, now_us), now_us);
   for (const auto& [other, entry] : m_queue) {
     if (rank < other) break;
     if (HasSlotFor(entry.is_short)) return false;
@@ -253,9 +252,26 @@
   return now_us + wait_us + static_cast<int64_t>(kServiceMargin * service_us) > limit_us;
 }
 
-SlotAdmission::Rank SlotAdmission::RankOf(const AdmissionRequest& request, bool is_late) const {
-  int64_t limit_us = is_late ? request.deadline_us : ObjectiveOf(request);
-  return {-request.importance + (is_late ? 1 : 0), limit_us, m_next_sequence, is_late};
+SlotAdmission::Rank SlotAdmission::RankOf(const AdmissionRequest& request, bool is_late,
+                                          int64_t now_us) const {
+  const WorkspaceTag& workspace = request.workspace;
+  return {.workspace = -(workspace.name.empty() ? kMaxImportance : workspace.importance),
+          .is_above_share = m_fair_share.IsAboveShare(workspace, now_us),
+          .priority = -request.importance + (is_late ? 1 : 0),
+          .due_us = is_late ? request.deadline_us : ObjectiveOf(request),
+          .sequence = m_next_sequence,
+          .is_late = is_late};
+}
+
+// A queued request is evicted only for one of a more important workspace, or work kind, or because
+// its workspace has used more than its share; not for one that is merely due sooner.
+bool SlotAdmission::CanEvict(const AdmissionRequest& request, const Rank& rank,
+                             Queue::iterator entry) const {
+  const auto& [other, queued] = *entry;
+  int importance = -request.importance;
+  int queued_importance = -queued.importance;
+  return std::tie(rank.workspace, rank.is_above_share, importance) <
+         std::tie(other.workspace, other.is_above_share, queued_importance);
 }
 
 void SlotAdmission::SetSlots(int slots) {
@@ -285,20 +301,21 @@
 void SlotAdmission::Start(const AdmissionRequest& request, int64_t now_us) {
   m_running[request.id] = {request.is_short, request.kind, now_us};
   m_rate_limit.OnSent(now_us);
+  m_fair_share.OnStarted(request.workspace,
+                         EstimateFor(request.kind, request.is_short).typical_us(), now_us);
   if (!request.is_short) ++m_running_long;
 }
 
-void SlotAdmission::Enqueue(const AdmissionRequest& request, bool is_late) {
-  Rank rank = RankOf(request, is_late);
+void SlotAdmission::Enqueue(const AdmissionRequest& request, const Rank& rank) {
   ++m_next_sequence;
   m_queue.emplace(rank, request);
   m_queued_ranks.emplace(request.id, rank);
 }
 
-void SlotAdmission::MoveToLateQueue(Queue::iterator entry) {
+void SlotAdmission::MoveToLateQueue(Queue::iterator entry, int64_t now_us) {
   AdmissionRequest request = entry->second;
   Dequeue(entry);
-  Enqueue(request, true);
+  Enqueue(request, RankOf(request, true, now_us));
 }
 
 SlotAdmission::Queue::iterator SlotAdmission::Dequeue(Queue::iterator entry) {
@@ -322,7 +339,7 @@
       changes.refuse.push_back({request.id, 0});
       entry = Dequeue(entry);
     } else if (!is_late && WouldMiss(ObjectiveOf(request), request, 0, now_us)) {
-      MoveToLateQueue(entry);
+      MoveToLateQueue(entry, now_us);
       entry = m_queue.begin();
     } else if (HasSlotFor(request.is_short)) {
       Start(request, now_us);
--- a/src/admission.h
+++ b/src/admission.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "fair_share.h"
 #include "server_rate_limit.h"
 #include "service_time.h"
 
@@ -28,6 +29,10 @@
   // Absolute time of the latency objective, until which an answer is of full use to the caller; 0:
   // the deadline.
   int64_t objective_us = 0;
+  // The workspace that the request belongs to. Its importance goes before that of the work kind. A
+  // request without a workspace is a call of a server that already runs a request, and ranks with
+  // those of the most important workspaces.
+  WorkspaceTag workspace;
   // Work kind; requests of one kind take about the same time. Empty: unknown.
   std::string kind;
   // An offer is never queued: it runs at once or is refused.
@@ -48,6 +53,8 @@
   int64_t retry_after_ms = 0;  // Set with kRefuse only.
   // Predicted wait in the queue; set for a refused offer only.
   int64_t wait_ms = 0;
+  // The request has no slot and its workspace has used more than its fair share.
+  bool is_above_share = false;
   // Queued requests that are evicted to make room for this one.
   std::vector<AdmissionRefusal> evicted;
 };
@@ -70,7 +77,9 @@
 };
 
 // Runs requests in a fixed number of slots, some of which are reserved for short work, and queues
-// the others in a bounded queue ordered by importance, then earliest objective. If a burst were
+// the others in a bounded queue ordered by the importance of the workspace, whether the workspace
+// has used more than its fair share, the importance of the work kind, then earliest objective. If a
+// burst were
 // queued in order of arrival, every answer of it would be late. A request is therefore refused at
 // once if it would end after its objective and after the middle of the time left until its
 // deadline. A request that misses its objective in the queue, or can no longer meet it on arrival,
@@ -106,13 +115,16 @@
  private:
   // Sort key of the queue.
   struct Rank {
+    int workspace = 0;            // The lowest runs first: negated importance of the workspace.
+    bool is_above_share = false;  // Of its workspace.
     int priority = 0;    // The lowest runs first: negated importance, plus one for a late request.
     int64_t due_us = 0;  // Objective; for a late request the deadline.
     uint64_t sequence = 0;  // Unique.
     bool is_late = false;
     bool operator<(const Rank& other) const {
-      return std::tie(priority, due_us, sequence) <
-             std::tie(other.priority, other.due_us, other.sequence);
+      return std::tie(workspace, is_above_share, priority, due_us, sequence) <
+             std::tie(other.workspace, other.is_above_share, other.priority, other.due_us,
+                      other.sequence);
     }
   };
   struct Running {
@@ -138,7 +150,8 @@
   bool CanStartNow(const AdmissionRequest& request, int64_t now_us) const;
   bool WouldMiss(int64_t limit_us, const AdmissionRequest& request, int64_t wait_us,
                  int64_t now_us) const;
-  Rank RankOf(const AdmissionRequest& request, bool is_late) const;
+  Rank RankOf(const AdmissionRequest& request, bool is_late, int64_t now_us) const;
+  bool CanEvict(const AdmissionRequest& request, const Rank& rank, Queue::iterator entry) const;
   Remaining RemainingOfRunning(int64_t now_us) const;
   enum class Slots { kAll, kForLongWork };
   int64_t FreeSlotUs(const Rank& rank, Slots slots, int64_t now_us) const;
@@ -147,8 +160,8 @@
   int64_t RetryAfterMs(int64_t now_us) const;
   int UsableSlots(int64_t service_us) const;
   void Start(const AdmissionRequest& request, int64_t now_us);
-  void Enqueue(const AdmissionRequest& request, bool is_late);
-  void MoveToLateQueue(Queue::iterator entry);
+  void Enqueue(const AdmissionRequest& request, const Rank& rank);
+  void MoveToLateQueue(Queue::iterator entry, int64_t now_us);
   Queue::iterator Dequeue(Queue::iterator entry);
   void EndRunning(std::unordered_map<uint64_t, Running>::iterator entry);
   void StartQueued(int64_t now_us, AdmissionChanges& changes);
@@ -161,6 +174,7 @@
   ServiceTimeEstimate m_long_estimate;
   std::map<std::string, ServiceTimeEstimate, std::less<>> m_kind_estimates;
   ServerRateLimit m_rate_limit;
+  FairShare m_fair_share;
   std::unordered_map<uint64_t, Running> m_running;
   Queue m_queue;
   std::unordered_map<uint64_t, Rank> m_queued_ranks;
--- a/src/entry_proxy_answers.cc
+++ b/src/entry_proxy_answers.cc
@@ -84,9 +84,11 @@
 void EntryProxy::LogCall(const EntryCall& call, CallOutcome outcome) const {
   LOG(INFO) << "event=request id=" << CallerRequestId(*call.downstream)
             << " try_id=" << call.request_id << " route=" << call.route
-            << " service=" << call.service << " outcome=" << ToString(outcome)
-            << " status=" << call.status << " tries=" << call.attempts_started
-            << " reached=" << call.servers_reached << " last_node=" << call.last_node
+            << " service=" << call.service
+            << " workspace=" << (call.workspace.name.empty() ? "none" : call.workspace.name)
+            << " outcome=" << ToString(outcome) << " status=" << call.status
+            << " tries=" << call.attempts_started << " reached=" << call.servers_reached
+            << " last_node=" << call.last_node
             << " reason=" << (call.last_reason.empty() ? "none" : call.last_reason)
             << " may_have_run=" << call.may_have_run << " config_version=" << call.config_version
             << " endpoints=" << m_picker.endpoints().OfService(call.service).size()
--- a/src/serving_call.h
+++ b/src/serving_call.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "caller_identity.h"
 #include "deadline.h"
 #include "server_notice.h"
 #include "serving_proxy.h"
@@ -45,6 +46,7 @@
   int server_status = 0;       // Status of the server's answer; 0 until it has arrived.
   ServerNotice notice;         // Of the server's answer.
   WorkTag work;
+  WorkspaceTag workspace;
   Phase phase = Phase::kQueued;
   int64_t deadline_us = 0;
   int64_t start_us = 0;
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -51,6 +51,10 @@
   return work ? *work : *ParseWorkTag(kDefaultWork);
 }
 
+WorkspaceTag WorkspaceOf(const DownstreamRequest& request) {
+  return ParseWorkspaceTag(HeaderValue(request.headers(), kWorkspaceHeader));
+}
+
 int64_t DeadlineOf(const DownstreamRequest& request) {
   int64_t default_us = request.arrival_us() + kDefaultDeadlineMs * kUsPerMs;
   return DeadlineFromHeader(request, kDeadlineHeader).value_or(default_us);
@@ -169,6 +173,7 @@
     Refuse(call, *wait_ms, is_offer ? kReasonBusy : kReasonOverload);
     return;
   }
+  call.workspace = WorkspaceOf(*call.downstream);
   AdmissionDecision decision = Arrive(m_admission,
                                       {.id = id,
                                        .importance = work.importance,
@@ -176,10 +181,12 @@
                                        .deadline_us = call.deadline_us,
                                        .arrival_us = call.downstream->arrival_us(),
                                        .objective_us = ObjectiveUs(*call.downstream),
+                                       .workspace = call.workspace,
                                        .kind = work.name,
                                        .is_offer = is_offer},
                                       now_us);
   call.timer.Start(std::chrono::microseconds(std::max<int64_t>(0, call.deadline_us - now_us)));
+  if (decision.is_above_share) m_metrics.GetCounter("serving_above_share_total").Add();
   Apply({.refuse = decision.evicted});
   if (decision.action == AdmissionDecision::Action::kRun) Run(call);
   if (decision.action == AdmissionDecision::Action::kQueue) ExpireQueued();
@@ -229,8 +236,9 @@
   int64_t start_us = call.start_us == 0 ? now_us : call.start_us;
   LOG(INFO) << "event=served id="
             << HeaderValue(call.downstream->headers(), m_protocol.request_id_header)
-            << " try_id=" << call.request_id << " kind=" << call.work.name << " outcome=" << outcome
-            << " reason=" << reason << " server=" << call.server.id
+            << " try_id=" << call.request_id << " kind=" << call.work.name
+            << " workspace=" << (call.workspace.name.empty() ? "none" : call.workspace.name)
+            << " outcome=" << outcome << " reason=" << reason << " server=" << call.server.id
             << " queue_ms=" << (start_us - arrival_us) / kUsPerMs
             << " server_ms=" << (now_us - start_us) / kUsPerMs
             << " left_ms=" << (call.deadline_us - now_us) / kUsPerMs
