Run pipelined idempotent requests of a connection side by side

What callers saw: a request sent behind another one on a connection was started only after the first had been answered, so a caller that sends five lookups ahead waited for the sum of their times. A caller that sent more than 64 KB ahead kept a processor busy until its first request had ended.

Cause: DownstreamConnection handled one request at a time. It left input unread at the high watermark of the bufferevent, and libevent repeats the read callback as long as the input is that full.

Change: a listener may have a predicate that says which requests may overlap. Up to 8 such requests of a connection are in progress at a time, and those behind the first have at most 64 KB in all (RequestPipeline). EntryProxy sets the predicate on the caller port: the route's work kind is idempotent under the configuration in force, and the node is not draining. Any other request waits until all earlier answers have been written, and nothing starts behind it; so do requests with a chunked body, with Expect: 100-continue, and HTTP/1.0 requests. Answers whose turn has not come are held, and the held bytes of a connection together count as unsent bytes of each of them, so relays pause upstream. Nothing starts behind a request whose answer closes the connection. When an answer breaks off, the requests behind it are cancelled, those before it are answered, and the connection is closed. Input that is not an acceptable request is refused after the earlier answers. Reading is disabled while the input is full.

--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -9,12 +9,13 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace guavatrail {
 
 namespace {
 
-// Limit on the bytes of a pipelined request that are read ahead while its predecessor is processed.
+// Limit on the unparsed bytes that are read ahead while earlier requests are processed.
 constexpr size_t kReadAheadBytes = 65'536;
 // The connection is closed if the client accepts no byte of its answer for this time.
 constexpr timeval kWriteTimeout = {.tv_sec = 60, .tv_usec = 0};
@@ -36,6 +37,11 @@
   return kHttpBadRequest;
 }
 
+bool ExpectsContinue(const HttpHead& head) {
+  const std::string* expect = FindHeader(head.headers, "Expect");
+  return expect != nullptr && strcasecmp(expect->c_str(), "100-continue") == 0;
+}
+
 void SetNoDelay(evutil_socket_t fd) {
   // With Nagle's algorithm, an answer sent in several writes would wait for the acknowledgement of
   // the first one.
@@ -43,12 +49,6 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
-// Makes close() reset the connection instead of closing it in an orderly way.
-void SetResetOnClose(evutil_socket_t fd) {
-  linger option{.l_onoff = 1, .l_linger = 0};
-  setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-}
-
 }  // namespace
 
 DownstreamConnection::DownstreamConnection(HttpListener& listener, evutil_socket_t fd)
@@ -73,24 +73,26 @@
 }
 
 DownstreamConnection::~DownstreamConnection() {
-  if (m_request != nullptr) m_request->m_connection = nullptr;
+  for (Answer& answer : m_answers) {
+    if (answer.request != nullptr) answer.request->m_connection = nullptr;
+    EndPacing(answer);
+  }
   EndIdle();
-  EndPacing();
   evbuffer_remove_cb_entry(bufferevent_get_output(m_bev), m_output_entry);
   bufferevent_free(m_bev);
   evbuffer_free(m_body);
 }
 
-evbuffer* DownstreamConnection::output() { return bufferevent_get_output(m_bev); }
+void DownstreamConnection::BufferDeleter::operator()(evbuffer* buffer) const {
+  evbuffer_free(buffer);
+}
 
 void DownstreamConnection::OnRead(bufferevent* /*bev*/, void* arg) {
   auto* self = static_cast<DownstreamConnection*>(arg);
   self->m_listener.m_loop.BeginCallback(LoopWork::kDownstream);
-  if (self->m_state == State::kReading) self->Read();
-  if (self->m_state == State::kLingering) {
-    evbuffer* input = bufferevent_get_input(self->m_bev);
-    evbuffer_drain(input, evbuffer_get_length(input));
-  }
+  self->Read();
+  if (!self->CanRead()) self->DiscardInput();
+  self->UpdateReading();
 }
 
 void DownstreamConnection::OnEvent(bufferevent* /*bev*/, short what, void* arg) {
@@ -105,50 +107,45 @@
   static_cast<DownstreamConnection*>(arg)->OnWritten(info->n_deleted, evbuffer_get_length(buffer));
 }
 
-void DownstreamConnection::OnWritten(size_t bytes, size_t left) {
-  if (m_state != State::kAnswering) return;
-  if (m_paced_bytes > 1) {
-    // One byte is kept until EndPacing, since 0 means that the connection is not paced.
-    int64_t written = std::min(static_cast<int64_t>(bytes), m_paced_bytes - 1);
-    m_listener.m_pacer->backlog().Remove(written);
-    m_paced_bytes -= written;
-  }
-  if (m_request != nullptr) m_request->OnWritten(bytes, left);
-  // Deferred, since libevent is still using the output buffer inside this callback.
-  if (left == 0 && m_is_answer_complete) {
-    m_listener.m_deferred.Post([this] {
-      if (m_state == State::kAnswering) OnAnswerWritten();
-    });
-  }
-}
+void DownstreamConnection::StartReadTimer() { m_timer.Start(m_listener.m_limits.read_timeout); }
 
-void DownstreamConnection::SetAnswerLength(uint64_t bytes) {
-  auto length = static_cast<int64_t>(bytes);
-  if (m_listener.m_pacer == nullptr || length <= LinkPacer::kLargeBytes) return;
-  m_paced_bytes = length;
-  m_listener.m_pacer->backlog().Add(length);
-  m_listener.m_pacer->AddConnection(m_bev);
+bool DownstreamConnection::CanRead() const {
+  return m_state == State::kOpen && m_refusal == 0 && !m_is_broken;
 }
 
-void DownstreamConnection::EndPacing() {
-  if (m_paced_bytes == 0) return;
-  m_listener.m_pacer->backlog().Remove(m_paced_bytes);
-  m_paced_bytes = 0;
-  m_listener.m_pacer->RemoveConnection(m_bev);
+// Libevent would otherwise stop reading, and the end of the connection would not be seen.
+void DownstreamConnection::DiscardInput() {
+  evbuffer* input = bufferevent_get_input(m_bev);
+  evbuffer_drain(input, evbuffer_get_length(input));
+  UpdateReading();
 }
 
-void DownstreamConnection::StartReadTimer() { m_timer.Start(m_listener.m_limits.read_timeout); }
+// Disables reading while the input is full. Libevent would otherwise call OnRead() again and again.
+void DownstreamConnection::UpdateReading() {
+  if (m_state == State::kClosed) return;
+  size_t high = 0;
+  bufferevent_getwatermark(m_bev, EV_READ, nullptr, &high);
+  bool is_full = evbuffer_get_length(bufferevent_get_input(m_bev)) >= high;
+  bool is_enabled = (bufferevent_get_enabled(m_bev) & EV_READ) != 0;
+  if (is_full && is_enabled) bufferevent_disable(m_bev, EV_READ);
+  if (!is_full && !is_enabled) bufferevent_enable(m_bev, EV_READ);
+}
 
 void DownstreamConnection::Read() {
   evbuffer* input = bufferevent_get_input(m_bev);
-  while (m_state == State::kReading) {
-    if (!m_has_first_byte && evbuffer_get_length(input) > 0) {
+  if (CanRead() && m_is_waiting && m_answers.empty()) EndWait();
+  while (CanRead() && !m_is_waiting && m_pipeline.IsOpen()) {
+    size_t length = evbuffer_get_length(input);
+    if (!m_has_first_byte && length > 0) {
       m_has_first_byte = true;
+      m_request_bytes = 0;
       EndIdle();
       m_reader.SetMaxHeadBytes(m_listener.m_limits.max_head_bytes);
       StartReadTimer();
     }
-    switch (m_reader.Next(input, m_body)) {
+    HttpReader::Event event = m_reader.Next(input, m_body);
+    m_request_bytes += length - evbuffer_get_length(input);
+    switch (event) {
       case HttpReader::Event::kNeedMore:
         return;
       case HttpReader::Event::kHead:
@@ -158,8 +155,8 @@
         OnBody();
         break;
       case HttpReader::Event::kDone:
-        Dispatch();
-        return;
+        OnComplete();
+        break;
       case HttpReader::Event::kError:
         Refuse(StatusOf(m_reader.error()));
         return;
@@ -169,16 +166,27 @@
 
 void DownstreamConnection::OnHead() {
   m_head = m_reader.TakeHead();
-  if (m_head.content_length.value_or(0) > m_listener.m_limits.max_body_bytes) {
+  uint64_t length = m_head.content_length.value_or(0);
+  if (length > m_listener.m_limits.max_body_bytes) {
     Refuse(kHttpContentTooLarge);
     return;
   }
-  const std::string* expect = FindHeader(m_head.headers, "Expect");
-  if (expect != nullptr && strcasecmp(expect->c_str(), "100-continue") == 0) {
-    evbuffer_add(output(), kContinue, sizeof(kContinue) - 1);
+  // While answers are unfinished, no "100 Continue" can be sent, and only a body that fits into the
+  // read-ahead is read.
+  bool is_readable = !ExpectsContinue(m_head) && m_head.framing != BodyFraming::kChunked &&
+                     m_pipeline.HasRoomFor(m_request_bytes + length);
+  if (m_answers.empty() || is_readable) {
+    ReadBody();
+  } else {
+    Wait();
   }
 }
 
+void DownstreamConnection::ReadBody() {
+  if (!ExpectsContinue(m_head)) return;
+  evbuffer_add(bufferevent_get_output(m_bev), kContinue, sizeof(kContinue) - 1);
+}
+
 void DownstreamConnection::OnBody() {
   StartReadTimer();
   if (evbuffer_get_length(m_body) > m_listener.m_limits.max_body_bytes) {
@@ -186,75 +194,87 @@
   }
 }
 
-void DownstreamConnection::Dispatch() {
+// The properties are determined again for a request that has waited, since the configuration may
+// have changed.
+void DownstreamConnection::OnComplete() {
+  // HTTP/1.0 has no pipelining, and the end of an answer may be marked by closing the connection.
+  PipelinedRequest properties = {
+      .may_overlap = m_head.minor_version > 0 && m_listener.MayOverlap(m_head),
+      .closes = !m_head.keep_alive || m_listener.ClosesAfterAnswer(),
+      .bytes = m_request_bytes};
+  if (m_pipeline.MayStart(properties)) {
+    Dispatch(properties);
+  } else {
+    m_is_request_complete = true;
+    Wait();
+  }
+}
+
+// Stops reading until all earlier requests have been answered.
+void DownstreamConnection::Wait() {
+  m_is_waiting = true;
+  m_timer.Cancel();
+}
+
+void DownstreamConnection::EndWait() {
+  m_is_waiting = false;
+  if (std::exchange(m_is_request_complete, false)) {
+    OnComplete();
+  } else {
+    StartReadTimer();
+    ReadBody();
+  }
+}
+
+void DownstreamConnection::Dispatch(const PipelinedRequest& properties) {
   m_timer.Cancel();
-  m_state = State::kAnswering;
-  m_is_answer_complete = false;
   m_has_first_byte = false;
-  m_closes_after_answer = !m_head.keep_alive || m_listener.ClosesAfterAnswer();
   std::string body(evbuffer_get_length(m_body), '\0');
   evbuffer_remove(m_body, body.data(), body.size());
-  auto request = std::make_unique<DownstreamRequest>(*this, std::move(m_head), std::move(body));
+  auto request = std::make_unique<DownstreamRequest>(*this, std::move(m_head), std::move(body),
+                                                     m_answers.size());
   m_head = {};
-  m_request = request.get();
+  m_pipeline.Start(properties);
+  m_answers.push_back({.request = request.get(), .closes = properties.closes});
   m_listener.m_handler(std::move(request));
 }
 
-// Rejects input that is not an acceptable request. No part of it has been dispatched, so the
-// outcome is reported as not run.
+// Rejects input that is not an acceptable request, after the answers of the earlier requests. No
+// part of it has been dispatched, so the outcome is reported as not run.
 void DownstreamConnection::Refuse(int status) {
-  evbuffer_add_printf(
-      output(), "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n%s: %s\r\n\r\n",
-      status, std::string(ReasonPhrase(status)).c_str(), kOutcomeHeader, kOutcomeNotRun);
+  m_refusal = status;
+  m_timer.Cancel();
+  evbuffer_drain(m_body, evbuffer_get_length(m_body));
+  DiscardInput();
   LOG_EVERY_N(WARNING, 100) << "event=request_unreadable status=" << status
-                            << " error=" << ToString(m_reader.error());
+                            << " error=" << ToString(m_reader.error())
+                            << " ahead=" << m_answers.size();
+  if (m_answers.empty()) SendRefusal();
+}
+
+void DownstreamConnection::SendRefusal() {
+  evbuffer_add_printf(bufferevent_get_output(m_bev),
+                      "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n%s: %s\r\n\r\n",
+                      m_refusal, std::string(ReasonPhrase(m_refusal)).c_str(), kOutcomeHeader,
+                      kOutcomeNotRun);
   Linger();
 }
 
 void DownstreamConnection::OnTimer() {
-  if (m_state == State::kReading && m_has_first_byte) {
+  if (m_state == State::kOpen && m_has_first_byte) {
     Refuse(kHttpRequestTimeout);
-  } else if (m_state != State::kAnswering) {
+  } else if (m_answers.empty()) {
     Close();
   }
 }
 
-void DownstreamConnection::FinishAnswer() {
-  m_is_answer_complete = true;
-  if (evbuffer_get_length(output()) > 0) return;
-  m_listener.m_deferred.Post([this] {
-    if (m_state == State::kAnswering && m_is_answer_complete) OnAnswerWritten();
-  });
-}
-
-void DownstreamConnection::OnAnswerWritten() {
-  EndPacing();
-  DownstreamRequest* request = m_request;
-  m_request = nullptr;
-  m_is_answer_complete = false;
-  if (m_closes_after_answer) {
-    Linger();
-  } else {
-    m_state = State::kReading;
-    StartIdle();
-    m_listener.OnConnectionIdle();
-  }
-  if (request != nullptr) {
-    request->m_connection = nullptr;
-    request->End(true);
-  }
-  // A pipelined request may already be in the input buffer.
-  if (m_state == State::kReading) Read();
-}
-
 void DownstreamConnection::Linger() {
   m_state = State::kLingering;
   EndIdle();
   m_timer.Start(kLingerTime);
-  evbuffer* input = bufferevent_get_input(m_bev);
-  evbuffer_drain(input, evbuffer_get_length(input));
+  DiscardInput();
   // The sending side is shut down as soon as the answer has been sent.
-  if (evbuffer_get_length(output()) == 0) {
+  if (evbuffer_get_length(bufferevent_get_output(m_bev)) == 0) {
     shutdown(bufferevent_getfd(m_bev), SHUT_WR);
     return;
   }
@@ -264,12 +284,6 @@
       &DownstreamConnection::OnEvent, this);
 }
 
-void DownstreamConnection::Abort(bool reset) {
-  m_request = nullptr;
-  if (reset) SetResetOnClose(bufferevent_getfd(m_bev));
-  Close();
-}
-
 void DownstreamConnection::StartIdle() {
   std::list<DownstreamConnection*>& idle = m_listener.m_idle;
   m_idle_entry = idle.insert(idle.end(), this);
@@ -290,21 +304,20 @@
   return true;
 }
 
-// Frees the connection later from the loop, since it may be running one of its own callbacks.
-void DownstreamConnection::Close() {
-  if (m_state == State::kClosed) return;
+void DownstreamConnection::Shut() {
   m_state = State::kClosed;
   m_timer.Cancel();
   EndIdle();
-  EndPacing();
   bufferevent_disable(m_bev, EV_READ | EV_WRITE);
   bufferevent_setcb(m_bev, nullptr, nullptr, nullptr, nullptr);
-  DownstreamRequest* request = m_request;
-  m_request = nullptr;
+}
+
+// Frees the connection later from the loop, since it may be running one of its own callbacks.
+void DownstreamConnection::Close() {
+  if (m_state == State::kClosed) return;
+  Shut();
   m_listener.Remove(*this);
-  if (request == nullptr) return;
-  request->m_connection = nullptr;
-  request->End(false);
+  CancelFrom(0);
 }
 
 }  // namespace guavatrail
--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -86,7 +86,7 @@
 }  // namespace
 
 DownstreamRequest::DownstreamRequest(DownstreamConnection& connection, HttpHead head,
-                                     std::string body)
+                                     std::string body, size_t requests_ahead)
     : m_connection(&connection),
       m_method(head.method),
       m_target(TargetOf(head.target)),
@@ -94,7 +94,8 @@
       m_headers(EndToEndHeaders(head.headers)),
       m_body(std::make_shared<const std::string>(std::move(body))),
       m_arrival_us(EventLoop::NowUs()),
-      m_minor_version(head.minor_version) {}
+      m_minor_version(head.minor_version),
+      m_requests_ahead(requests_ahead) {}
 
 DownstreamRequest::~DownstreamRequest() {
   m_on_end = nullptr;
@@ -126,24 +127,24 @@
                                   std::optional<uint64_t> content_length) {
   m_started = true;
   m_has_body = m_method != EVHTTP_REQ_HEAD && HasBody(status);
-  evbuffer* output = m_connection->output();
+  evbuffer* output = m_connection->OutputOf(*this);
   evbuffer_add_printf(output, "HTTP/1.1 %d ", status);
   evbuffer_add(output, reason.data(), reason.size());
   evbuffer_add(output, "\r\n", 2);
   for (const auto& [name, value] : headers) AddLine(output, name, value);
   if (content_length && m_has_body && !m_is_expedited)
-    m_connection->SetAnswerLength(*content_length);
+    m_connection->SetAnswerLength(*this, *content_length);
   if (content_length) {
     if (HasBody(status)) AddLine(output, "Content-Length", std::to_string(*content_length));
   } else if (m_has_body && m_minor_version == 0) {
     // HTTP/1.0 has no chunked encoding; the end of the body is marked by closing the connection.
     m_is_self_delimited = false;
-    m_connection->CloseAfterAnswer();
+    m_connection->CloseAfter(*this);
   } else if (m_has_body) {
     m_is_chunked = true;
     AddLine(output, "Transfer-Encoding", "chunked");
   }
-  if (m_connection->will_close()) {
+  if (m_connection->ClosesAfter(*this)) {
     AddLine(output, "Connection", "close");
   } else if (m_minor_version == 0) {
     AddLine(output, "Connection", "keep-alive");
@@ -154,8 +155,8 @@
 void DownstreamRequest::Reply(int status, const HeaderList& headers, std::string_view body) {
   if (m_connection == nullptr || m_started) return;
   WriteHead(status, ReasonPhrase(status), headers, body.size());
-  if (m_has_body) evbuffer_add(m_connection->output(), body.data(), body.size());
-  m_connection->FinishAnswer();
+  if (m_has_body) evbuffer_add(m_connection->OutputOf(*this), body.data(), body.size());
+  m_connection->FinishAnswer(*this);
 }
 
 void DownstreamRequest::StartReply(int status, const std::string& reason, const HeaderList& headers,
@@ -169,7 +170,7 @@
     evbuffer_drain(data, evbuffer_get_length(data));
     return;
   }
-  evbuffer* output = m_connection->output();
+  evbuffer* output = m_connection->OutputOf(*this);
   size_t length = evbuffer_get_length(data);
   if (length == 0) return;
   if (m_is_chunked) evbuffer_add_printf(output, "%zx\r\n", length);
@@ -179,22 +180,21 @@
 
 void DownstreamRequest::FinishReply() {
   if (m_connection == nullptr) return;
-  if (m_is_chunked) evbuffer_add(m_connection->output(), "0\r\n\r\n", 5);
-  m_connection->FinishAnswer();
+  if (m_is_chunked) evbuffer_add(m_connection->OutputOf(*this), "0\r\n\r\n", 5);
+  m_connection->FinishAnswer(*this);
 }
 
 void DownstreamRequest::Abort() {
   if (m_connection == nullptr) return;
-  DownstreamConnection* connection = m_connection;
-  m_connection = nullptr;
   // The client would take an orderly close as the regular end of an answer that has neither a
   // length nor chunks, so such a connection is reset.
-  connection->Abort(!m_is_self_delimited);
+  m_connection->Abort(*this, !m_is_self_delimited);
+  m_connection = nullptr;
   End(false);
 }
 
 size_t DownstreamRequest::UnsentBytes() const {
-  return m_connection == nullptr ? 0 : evbuffer_get_length(m_connection->output());
+  return m_connection == nullptr ? 0 : m_connection->UnsentBytesOf(*this);
 }
 
 void PendingReplies::Reply(std::unique_ptr<DownstreamRequest> request, int status,
@@ -270,6 +270,14 @@
   return m_closes_after_answers || static_cast<double>(m_connections.size()) > limit;
 }
 
+bool HttpListener::MayOverlap(const HttpHead& head) const {
+  if (!m_may_overlap) return false;
+  std::string target = TargetOf(head.target);
+  std::string host = HostOf(head);
+  std::string_view path = std::string_view(target).substr(0, target.find('?'));
+  return m_may_overlap({.method = head.method, .path = path, .host = host});
+}
+
 // Closes a share of the connections, so that this is done once for many new ones.
 void HttpListener::CloseLongestIdle() {
   size_t count = std::max(kMinIdleCloses, m_connections.size() / kConnectionsPerIdleClose);
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -43,7 +43,9 @@
 // cannot mistake a partial answer for a complete one. Must not outlive its HttpListener.
 class DownstreamRequest {
  public:
-  DownstreamRequest(DownstreamConnection& connection, HttpHead head, std::string body);
+  // `requests_ahead` is the number of earlier requests of the connection in progress.
+  DownstreamRequest(DownstreamConnection& connection, HttpHead head, std::string body,
+                    size_t requests_ahead);
   ~DownstreamRequest();
   DownstreamRequest(const DownstreamRequest&) = delete;
   DownstreamRequest& operator=(const DownstreamRequest&) = delete;
@@ -67,6 +69,8 @@
   const HeaderList& headers() const { return m_headers; }
   const std::shared_ptr<const std::string>& body() const { return m_body; }
   int64_t arrival_us() const { return m_arrival_us; }
+  // Number of earlier requests of its connection that were in progress when it was started.
+  size_t requests_ahead() const { return m_requests_ahead; }
 
   // Exempts the answer from pacing, whatever its size.
   void BypassPacing() { m_is_expedited = true; }
@@ -79,13 +83,15 @@
   // Moves all bytes of `data` to the answer body.
   void SendBody(evbuffer* data);
   void FinishReply();
-  // Closes the connection without finishing the answer.
+  // Closes the connection without finishing the answer. Earlier requests of the connection are
+  // answered first, later ones are cancelled.
   void Abort();
 
   bool has_started_reply() const { return m_started; }
   // Whether the answer has been written or the client has disconnected.
   bool has_ended() const { return m_connection == nullptr; }
-  // Answer bytes not yet written to the socket.
+  // Answer bytes not yet written to the socket. While earlier requests are being answered, the held
+  // bytes of all answers of the connection.
   size_t UnsentBytes() const;
   // Answer bytes written to the socket, including head and framing.
   uint64_t written_bytes() const { return m_written; }
@@ -105,6 +111,7 @@
   std::shared_ptr<const std::string> m_body;
   int64_t m_arrival_us;
   int m_minor_version;
+  size_t m_requests_ahead;
   std::function<void(bool)> m_on_end;
   std::function<void()> m_on_low_watermark;
   size_t m_low_watermark = 0;
@@ -135,9 +142,17 @@
   DeferredQueue m_deferred;
 };
 
+// The part of a request that determines whether it may overlap with others.
+struct RequestTarget {
+  evhttp_cmd_type method = EVHTTP_REQ_GET;
+  std::string_view path;  // Without the query.
+  std::string_view host;  // In lower case, without the port; may be empty.
+};
+
 class HttpListener {
  public:
   using Handler = std::function<void(std::unique_ptr<DownstreamRequest>)>;
+  using OverlapPredicate = std::function<bool(const RequestTarget&)>;
 
   HttpListener(EventLoop& loop, Handler handler);
   ~HttpListener();
@@ -152,6 +167,11 @@
   void CloseAfterAnswers() { m_closes_after_answers = true; }
   // From now on, large answers are paced. The pacer must outlive the listener.
   void SetPacer(LinkPacer& pacer) { m_pacer = &pacer; }
+  // From now on, requests for which `predicate` is true are started while earlier requests of their
+  // connection for which it was true are in progress. It is called when a request has arrived
+  // completely, directly before the handler if the request is started at once. Without a predicate,
+  // a request is started after the previous answer has been written.
+  void SetOverlapPredicate(OverlapPredicate predicate) { m_may_overlap = std::move(predicate); }
   // Closes the listening socket; existing connections stay open.
   void StopAccepting();
   // From now on keeps at most `connections` open. Near the limit, a connection is closed after its
@@ -181,6 +201,7 @@
   void OnConnectionIdle();
   bool is_full() const { return m_connections.size() >= m_max_connections; }
   bool ClosesAfterAnswer() const;
+  bool MayOverlap(const HttpHead& head) const;
   void CloseLongestIdle();
   void UpdateAccepting();
 
@@ -190,6 +211,7 @@
 
   EventLoop& m_loop;
   Handler m_handler;
+  OverlapPredicate m_may_overlap;
   HttpLimits m_limits;
   LinkPacer* m_pacer = nullptr;
   bool m_closes_after_answers = false;
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -77,6 +77,7 @@
       m_deferred(loop) {
   DescriptorBudget budget = MakeDescriptorBudget(settings.listen.max_descriptors);
   m_listener.SetMaxConnections(budget.caller_connections);
+  m_listener.SetOverlapPredicate([this](const RequestTarget& t) { return MayOverlap(t); });
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
 
@@ -126,7 +127,20 @@
   m_replies.Reply(std::move(request), status, headers);
 }
 
+// Whether a request is idempotent under the configuration in force.
+bool EntryProxy::MayOverlap(const RequestTarget& target) const {
+  std::shared_ptr<const ConfigTable> table = m_view.table();
+  if (m_draining || table == nullptr || target.path.starts_with(kInternalPathPrefix)) return false;
+  const Route* route = table->MatchRoute(target.path, target.host);
+  const WorkKind* kind = route == nullptr ? nullptr : table->FindWorkKind(route->work);
+  return kind != nullptr && ModeOf(*kind, target.method) == RunMode::kRepeatable;
+}
+
 void EntryProxy::OnRequest(std::unique_ptr<DownstreamRequest> request) {
+  if (size_t ahead = request->requests_ahead(); ahead > 0) {
+    m_metrics.GetCounter("pipelined_requests_total", "ahead=\"" + std::to_string(ahead) + "\"")
+        .Add();
+  }
   if (m_draining) {
     RefuseRequest(std::move(request), kHttpServiceUnavailable, kReasonDraining,
                   kNoTableRetryAfterMs);
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -79,6 +79,7 @@
 
  private:
   // Requests of callers.
+  bool MayOverlap(const RequestTarget& target) const;
   void OnRequest(std::unique_ptr<DownstreamRequest> request);
   // `retry_after_ms` is sent with a 503 only.
   void RefuseRequest(std::unique_ptr<DownstreamRequest> request, int status,
--- a/test/support/fake_server.cc
+++ b/test/support/fake_server.cc
@@ -263,6 +263,8 @@
   if (sent != static_cast<ssize_t>(bytes.size())) throw std::runtime_error("short write");
 }
 
+void FakeClient::CloseSending() { shutdown(bufferevent_getfd(m_bev), SHUT_WR); }
+
 void FakeClient::PauseReading() { bufferevent_disable(m_bev, EV_READ); }
 void FakeClient::ResumeReading() { bufferevent_enable(m_bev, EV_READ); }
 
--- a/test/support/fake_server.h
+++ b/test/support/fake_server.h
@@ -102,6 +102,8 @@
   // Writes to the socket immediately instead of from the event loop.
   void SendBlocking(std::string_view bytes);
   void Close();
+  // Closes the sending side only. All bytes passed to Send must have been written.
+  void CloseSending();
   void PauseReading();
   void ResumeReading();
 
--- a/test/support/relay_proxy.h
+++ b/test/support/relay_proxy.h
@@ -32,6 +32,7 @@
   };
 
   uint16_t port() const { return m_listener.port(); }
+  HttpListener& listener() { return m_listener; }
   ConnectionPool& pool() { return m_pool; }
   std::vector<std::unique_ptr<Call>> calls;
 
