--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -74,6 +74,7 @@
       m_replies(loop),
       m_protocol(std::move(protocol)),
       m_random(random),
+      m_quota_refusals(metrics),
       m_deferred(loop) {
   DescriptorBudget budget = MakeDescriptorBudget(settings.listen.max_descriptors);
   m_listener.SetMaxConnections(budget.caller_connections);
@@ -117,7 +118,8 @@
 void EntryProxy::RefuseRequest(std::unique_ptr<DownstreamRequest> request, int status,
                                std::string_view reason, int64_t retry_after_ms) {
   HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}, {kReasonHeader, std::string(reason)}};
-  if (status == kHttpServiceUnavailable) SetRetryAfterFor(headers, retry_after_ms);
+  bool may_try_later = status == kHttpServiceUnavailable || status == kHttpTooManyRequests;
+  if (may_try_later) SetRetryAfterFor(headers, retry_after_ms);
   FilterNodeHeaders(headers);
   EchoRequestId(*request, headers);
   LOG(INFO) << "event=request_refused id=" << CallerRequestId(*request)
@@ -173,9 +175,23 @@
                   kNoTableRetryAfterMs);
     return;
   }
+  if (IsAboveQuota(request, *workspace)) return;
   StartCall(std::move(request), *table, *route, *kind, *workspace, deadline_us);
 }
 
+// Refuses the request if its workspace is above its quota.
+bool EntryProxy::IsAboveQuota(std::unique_ptr<DownstreamRequest>& request,
+                              const Workspace* workspace) {
+  if (m_quotas == nullptr || workspace == nullptr) return false;
+  int64_t now_us = EventLoop::NowUs();
+  auto admitted = m_quotas->Admit(workspace->name, now_us);
+  if (admitted) return false;
+  int64_t retry_after_ms = admitted.error().retry_after_ms;
+  m_quota_refusals.Record(workspace->name, retry_after_ms, now_us);
+  RefuseRequest(std::move(request), kHttpTooManyRequests, kReasonQuota, retry_after_ms);
+  return true;
+}
+
 void EntryProxy::StartCall(std::unique_ptr<DownstreamRequest> request, const ConfigTable& table,
                            const Route& route, const WorkKind& kind, const Workspace* workspace,
                            int64_t deadline_us) {
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -22,6 +22,8 @@
 #include "metrics.h"
 #include "peer_client.h"
 #include "proxy_error.h"
+#include "quota_enforcer.h"
+#include "quota_refusals.h"
 #include "random_source.h"
 #include "server_picker.h"
 #include "settings.h"
@@ -67,6 +69,8 @@
   void SetLimits(const CallerLimits& limits);
   // From now on refuses requests that `blame` has in quarantine as not run.
   void SetCrashBlame(const CrashBlame& blame) { m_blame = &blame; }
+  // From now on refuses requests of workspaces above their quota as not run.
+  void SetQuotas(QuotaEnforcer& quotas) { m_quotas = &quotas; }
   // From now on sends contained requests only to the nodes of their shard.
   void SetContainment(CrashContainment& containment) { m_containment = &containment; }
 
@@ -80,13 +84,15 @@
  private:
   // Requests of callers.
   void OnRequest(std::unique_ptr<DownstreamRequest> request);
-  // `retry_after_ms` is sent with a 503 only.
+  // `retry_after_ms` is sent with a 429 or 503 only.
   void RefuseRequest(std::unique_ptr<DownstreamRequest> request, int status,
                      std::string_view reason, int64_t retry_after_ms = 0);
   void SetRetryAfterFor(HeaderList& headers, int64_t retry_after_ms) const;
   void StartCall(std::unique_ptr<DownstreamRequest> request, const ConfigTable& table,
                  const Route& route, const WorkKind& kind, const Workspace* workspace,
                  int64_t deadline_us);
+  bool IsAboveQuota(std::unique_ptr<DownstreamRequest>& request, const Workspace* workspace);
+  void ReturnQuota(EntryCall& call);
   void LimitToShard(EntryCall& call);
   void OnDownstreamEnd(EntryCall& call, bool written);
   void OnDeadline(EntryCall& call);
@@ -153,6 +159,8 @@
   RandomSource& m_random;
   const CrashBlame* m_blame = nullptr;
   CrashContainment* m_containment = nullptr;
+  QuotaEnforcer* m_quotas = nullptr;
+  QuotaRefusals m_quota_refusals;
   bool m_draining = false;
   std::optional<int64_t> m_end_us;  // When the process ends, if it is stopping.
   std::function<void()> m_on_idle;
--- a/src/entry_proxy_answers.cc
+++ b/src/entry_proxy_answers.cc
@@ -42,7 +42,14 @@
   }
 }
 
+// The call does not count for the quota of its workspace, since it has not run.
+void EntryProxy::ReturnQuota(EntryCall& call) {
+  if (m_quotas == nullptr || call.workspace.name.empty() || call.is_answered) return;
+  m_quotas->Return(call.workspace.name, EventLoop::NowUs());
+}
+
 void EntryProxy::AnswerNotRun(EntryCall& call, int64_t retry_after_ms) {
+  ReturnQuota(call);
   HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}};
   SetRetryAfterFor(headers, retry_after_ms);
   Answer(call, kHttpServiceUnavailable, std::move(headers), CallOutcome::kRefused);
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -57,6 +57,8 @@
 inline constexpr char kEndpointsPath[] = "/guavatrail/v1/endpoints";
 // Requests that are suspected of crashing servers; see suspect_relay.h.
 inline constexpr char kSuspectsPath[] = "/guavatrail/v1/suspects";
+// Reports on the quotas of workspaces; see quota_exchange.h.
+inline constexpr char kQuotaPath[] = "/guavatrail/v1/quota";
 inline constexpr std::string_view kProbePathPrefix = "/guavatrail/v1/request/";
 
 inline constexpr char kOutcomeAnswered[] = "answered";
@@ -85,6 +87,8 @@
 // The request may have crashed backend servers, and this node must not run it now; see
 // crash_containment.h.
 inline constexpr char kReasonContained[] = "contained";
+// The workspace is above its quota; see quota_enforcer.h.
+inline constexpr char kReasonQuota[] = "quota";
 
 inline constexpr size_t kMaxHeaderBytes = 65'536;
 inline constexpr size_t kMaxRequestBodyBytes = 1'048'576;
