--- a/test/error/release_note_parse_errors_test.cc
+++ b/test/error/release_note_parse_errors_test.cc
@@ -44,7 +44,7 @@
             "n.toml:10: add.length: found \"tall\", allowed is one of \"short\" \"long\"");
   EXPECT_EQ(ErrorOf("type = \"service\"", "type = \"shop\""),
             "n.toml:12: withdraw.type: found \"shop\", allowed is one of \"service\" \"work\" "
-            "\"route\"");
+            "\"route\" \"workspace\"");
 }
 
 TEST(ReleaseNoteParseErrors, NamesMissingAndUnknownKeys) {
