--- a/src/quota_codec.cc
+++ b/src/quota_codec.cc
@@ -11,6 +11,8 @@
 constexpr size_t kMaxNodeNameBytes = 255;
 // Counters beyond this could overflow the differences that the coordinator computes.
 constexpr uint64_t kMaxCount = uint64_t{1} << 62U;
+// The clock starts with the VM, and the base may be before that.
+constexpr int64_t kMinTimeUs = -60'000'000;
 constexpr int64_t kMaxTimeUs = int64_t{1} << 62U;
 
 // False for infinities and NaN also.
@@ -92,8 +94,7 @@
   if (!Parse(bytes, message)) return Fail("bytes are not an encoded QuotaReport");
   bool has_node = !message.node().empty() && message.node().size() <= kMaxNodeNameBytes;
   if (!has_node) return Fail("quota report: node is not a name");
-  // The clock starts with the VM, and its base may be before that.
-  bool has_times = message.base_time_us() >= -kQuotaBaseAgeUs &&
+  bool has_times = message.base_time_us() >= kMinTimeUs &&
                    message.base_time_us() <= message.time_us() && message.time_us() <= kMaxTimeUs;
   if (!has_times) return Fail("quota report: time out of range");
   if (!AreValid(message.usages())) return Fail("quota report: usages out of range");
--- a/src/quota_enforcer.cc
+++ b/src/quota_enforcer.cc
@@ -202,14 +202,15 @@
   QuotaReport report{.node = m_node,
                      .process = m_process,
                      .time_us = now_us,
-                     .base_time_us = std::max(now_us - kQuotaBaseAgeUs, m_start_us)};
+                     .base_time_us = std::max(now_us - QuotaBaseAgeUs(m_nodes), m_start_us)};
   for (auto& [name, state] : m_workspaces) {
     if (state.snapshots.empty()) continue;
-    if (now_us - state.last_request_us > kQuotaBaseAgeUs) {
+    if (now_us - state.last_request_us > QuotaBaseAgeUs(m_nodes)) {
       state.snapshots.clear();
       continue;
     }
-    while (state.snapshots.size() > 1 && state.snapshots[1].time_us <= now_us - kQuotaBaseAgeUs) {
+    while (state.snapshots.size() > 1 &&
+           state.snapshots[1].time_us <= now_us - QuotaBaseAgeUs(m_nodes)) {
       state.snapshots.pop_front();
     }
     report.usages.push_back(
@@ -221,7 +222,8 @@
 
 bool QuotaEnforcer::OnReply(std::string_view coordinator, int64_t sent_us, const QuotaReply& reply,
                             int64_t now_us) {
-  bool is_late = sent_us + kQuotaReplyValidUs <= now_us || (m_has_reply && sent_us < m_sent_us);
+  bool is_late =
+      sent_us + QuotaReplyValidUs(m_nodes) <= now_us || (m_has_reply && sent_us < m_sent_us);
   if (is_late) return false;
   bool is_other = IsCoordinated(now_us) && coordinator != m_coordinator;
   if (is_other && reply.group < kMinGroupPart * m_group) return false;
@@ -229,7 +231,7 @@
   m_coordinator = coordinator;
   m_group = reply.group;
   m_sent_us = sent_us;
-  m_valid_until_us = sent_us + kQuotaReplyValidUs;
+  m_valid_until_us = sent_us + QuotaReplyValidUs(m_nodes);
   auto next = reply.limits.begin();
   for (auto& [name, state] : m_workspaces) {
     while (next != reply.limits.end() && next->workspace < name) ++next;
--- a/src/quota_ledger.cc
+++ b/src/quota_ledger.cc
@@ -38,6 +38,7 @@
 constexpr int64_t kYoungUs = 1'000'000;
 // After this time without reports the levels are unknown again.
 constexpr int64_t kIdleUs = 3'000'000;
+constexpr int64_t kIdlePeriods = 4;
 constexpr int64_t kForgetNodeUs = 60'000'000;
 constexpr int64_t kForgetUsageUs = 10'000'000;
 constexpr size_t kMinUsagesToForget = 64;
@@ -252,14 +253,15 @@
 QuotaLedger::Node& QuotaLedger::UpdateNode(const QuotaReport& report, int64_t now_us) {
   auto [it, is_first] = m_nodes.try_emplace(report.node);
   Node& node = it->second;
-  bool is_new =
-      is_first || node.process != report.process || report.time_us - node.time_us > kQuotaBaseAgeUs;
+  bool is_new = is_first || node.process != report.process ||
+                report.time_us - node.time_us > QuotaBaseAgeUs(m_known.size());
   if (is_new) {
     RemoveRates(node);
     node.usages.clear();
     node.time_us = node.rated_us = report.base_time_us;
   }
-  int64_t elapsed_us = std::clamp<int64_t>(report.time_us - node.time_us, 0, kQuotaBaseAgeUs);
+  int64_t elapsed_us =
+      std::clamp<int64_t>(report.time_us - node.time_us, 0, QuotaBaseAgeUs(m_known.size()));
   node.process = report.process;
   node.time_us = report.time_us;
   node.seen_us = now_us;
@@ -270,7 +272,8 @@
 }
 
 QuotaReply QuotaLedger::OnReport(const QuotaReport& report, int64_t now_us) {
-  if (m_first_us < 0 || now_us - m_last_us > kIdleUs) Reset(now_us);
+  int64_t idle_us = std::max(kIdleUs, kIdlePeriods * QuotaPeriodUs(m_known.size()));
+  if (m_first_us < 0 || now_us - m_last_us > idle_us) Reset(now_us);
   m_last_us = now_us;
   auto known = m_nodes.find(report.node);
   bool is_late_copy = known != m_nodes.end() && known->second.process == report.process &&
--- a/src/quota_report.h
+++ b/src/quota_report.h
@@ -54,17 +54,23 @@
 };
 
 inline constexpr size_t kMaxQuotaEntries = 10'000;
-// Time between the base of a report and the report. A coordinator that has no earlier report of
-// the node takes the base for it.
-inline constexpr int64_t kQuotaBaseAgeUs = 1'500'000;
-// A reply is valid for this time from when its report was sent.
-inline constexpr int64_t kQuotaReplyValidUs = 1'000'000;
-
 // Time between two reports of a node. The coordinator handles at most 250 reports a second.
 inline int64_t QuotaPeriodUs(size_t nodes) {
   return std::max<int64_t>(250'000, 4'000 * static_cast<int64_t>(nodes));
 }
 
+// Time between the base of a report and the report. A coordinator that has no earlier report of
+// the node takes the base for it.
+inline int64_t QuotaBaseAgeUs(size_t nodes) {
+  return std::max<int64_t>(1'500'000, 2 * QuotaPeriodUs(nodes));
+}
+
+// A reply is valid for this time from when its report was sent. Beyond 125 nodes the next reply
+// would otherwise be lost with one message, and beyond 250 arrive too late.
+inline int64_t QuotaReplyValidUs(size_t nodes) {
+  return std::max<int64_t>(1'000'000, 2 * QuotaPeriodUs(nodes));
+}
+
 inline bool HasQuota(const Workspace& workspace) { return workspace.rate_per_s > 0; }
 // Capacity of the bucket of a workspace in requests. With rates of a few requests a second, random
 // arrivals at 0.6 of the quota would empty a bucket of the burst alone about once a minute. The
