Reproduce the memory exhausted by unfinished and queued bodies

What callers saw: untrusted clients made nodes exit for lack of memory, with a crowd of legal bodies that stop just short of their end, and with chunked bodies.

Change: MemoryBounds starts two nodes and a crowd of 24 to 180 clients at the caller port or the peer port, for a VM of 100 MB and bodies of 16 MiB at most, and checks that the processes live, that resident memory stays below 100 MB and descriptors below 256, and that ordinary requests are answered during the crowd and after it. It checks no times. Crowd and bounds are fixed here. A version that rejects the setting listen.memory_mb runs without it.

--- /dev/null
+++ b/test/memory/site_under_test.py
@@ -0,0 +1,153 @@
+"""Two nodes as real processes on loopback addresses, with the stand-ins of the soak for the store
+and the servers. The server of the first node answers nothing under /slow/."""
+import asyncio
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "test" / "soak"))
+from backend import Backend  # noqa: E402
+from store import Store  # noqa: E402
+
+CALLER, PEER, CONTROL, READY, ADMIN, SERVER, STORE = 7401, 7402, 7403, 7404, 7405, 7406, 7407
+HOST = "shop.example"
+WAIT_S = 60  # Limit on each wait of the harness, not a requirement on the nodes.
+# Deadline of all calls; longer than WAIT_S, so that no check depends on it.
+DEADLINE_S = 120
+
+
+def config(max_body_bytes):
+    def rule(name, prefix, service):
+        return {"name": name, "route-kind": "idempotent", "goal-s": 60, "priority": 1,
+                "match": {"path-prefix": prefix},
+                "action": {"service": service, "timeout-s": DEADLINE_S, "attempts": 2}}
+    return {"version": 1, "limits": {"max-body-bytes": max_body_bytes},
+            "listeners": [{"authority": HOST, "ruleset": [rule("parts", "/parts/", "catalogo"),
+                                                          rule("slow", "/slow/", "encomendas"),
+                                                          rule("own", "/own/", "encomendas")]}],
+            "clusters": [{"name": "catalogo"}, {"name": "encomendas"}]}
+
+
+class SlowBackend(Backend):
+    async def answer(self, message, writer):
+        if message.target.startswith("/slow/"):
+            await asyncio.sleep(10 * DEADLINE_S)
+        return await super().answer(message, writer)
+
+
+class Node:
+    def __init__(self, number, service, net):
+        self.name, self.service = f"node-{number}", service
+        self.ip, self.server_ip = f"127.{net}.1.{number}", f"127.{net}.4.{number}"
+        self.process = None
+
+    def memory_bytes(self, field):
+        """VmRSS or VmHWM (the highest VmRSS so far) of the process."""
+        for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            if line.startswith(field + ":"):
+                return int(line.split()[1]) * 1024
+        raise AssertionError(f"{self.name} has ended")
+
+    def descriptors(self):
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+
+class Site:
+    def __init__(self, daemon, memory_mb, max_body_bytes):
+        self.daemon, self.memory_mb, self.max_body_bytes = daemon, memory_mb, max_body_bytes
+        self.dir = pathlib.Path(tempfile.mkdtemp(prefix="guavatrail-memory-"))
+        net = 16 + os.getpid() % 200
+        self.nodes = [Node(1, "encomendas", net), Node(2, "catalogo", net)]
+        self.store_ip = f"127.{net}.0.1"
+        self.loop = asyncio.new_event_loop()
+        # Errors of stand-ins whose connections the nodes cut are expected.
+        self.loop.set_exception_handler(lambda *_: None)
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.listener, self.backends = None, []
+
+    def run(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(WAIT_S)
+
+    def start(self):
+        self.thread.start()
+        self.run(self.start_stand_ins())
+        for node in self.nodes:
+            log = open(self.dir / f"{node.name}.log", "wb")
+            node.process = subprocess.Popen([self.daemon, "--settings", self.settings_of(node)],
+                                            stdout=log, stderr=log)
+            log.close()
+
+    async def start_stand_ins(self):
+        store = Store()
+        self.listener = await store.listen(self.store_ip, STORE)
+        await store.put("config", "main", config(self.max_body_bytes))
+        for node in self.nodes:
+            backend = SlowBackend(node.service, node.server_ip, SERVER, (node.ip, CONTROL), {}, 1)
+            await backend.start()
+            self.backends.append(backend)
+
+    async def stop_stand_ins(self):
+        self.listener.close()
+        for backend in self.backends:
+            await backend.crash()
+        tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def settings_of(self, node):
+        path = self.dir / f"{node.name}.toml"
+        settings = f"""
+[node]
+name = "{node.name}"
+service = "{node.service}"
+region = "norte"
+data_centre = "norte-a"
+[server]
+address = "{node.server_ip}:{SERVER}"
+reserved_short_slots = 0
+[platform]
+api = "metadata_store"
+address = "{self.store_ip}:{STORE}"
+[listen]
+ip = "{node.ip}"
+caller_port = {CALLER}
+peer_port = {PEER}
+control_port = {CONTROL}
+ready_port = {READY}
+admin_port = {ADMIN}
+"""
+        # A version without this setting rejects it; the bounds of the test hold for it all the same.
+        path.write_text(settings + f"memory_mb = {self.memory_mb}\n")
+        if subprocess.run([self.daemon, "--check", "--settings", path],
+                          capture_output=True).returncode != 0:
+            path.write_text(settings)
+        return path
+
+    def stop(self, keep_logs):
+        for node in self.nodes:
+            if node.process is not None:
+                node.process.kill()
+                node.process.wait()
+        self.run(self.stop_stand_ins())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+        if keep_logs:
+            print(f"logs: {self.dir}", flush=True)
+        else:
+            shutil.rmtree(self.dir)
+
+
+def wait_until(condition):
+    end = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError(f"not within {WAIT_S} s")
+        time.sleep(0.05)
