Merge the budget of request bytes with the pipelining of requests

An answer that is held counts as unsent bytes of its connection. Read-ahead that does not fit in memory behind requests in progress is discarded, and the connection closes after the last of their answers.

--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -17,11 +17,21 @@
 
 // Limit on the unparsed bytes that are read ahead while earlier requests are processed.
 constexpr size_t kReadAheadBytes = 65'536;
+// What the kernel holds of the input when the read-ahead is full, and of an answer beyond what is
+// on its way to the client. Without the limit of the latter it holds several megabytes for a client
+// that does not read.
+constexpr size_t kKernelReadAheadBytes = 131'072;
+constexpr int kKernelUnsentBytes = 131'072;
 // The connection is closed if the client accepts no byte of its answer for this time.
 constexpr timeval kWriteTimeout = {.tv_sec = 60, .tv_usec = 0};
 // Time for which input is discarded before a connection is closed. Closing a socket with unread
 // input resets the connection, which could discard the answer before the client reads it.
 constexpr std::chrono::milliseconds kLingerTime{1'000};
+// Retry-After of a request that is refused for lack of memory. Bodies are held for as long as
+// requests run, mostly less than a second.
+constexpr int kMemoryRetryAfterS = 1;
+// The head of a request is held twice while it runs, once as received and once as forwarded.
+constexpr size_t kCopiesOfHead = 2;
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int StatusOf(HttpReadError error) {
@@ -42,11 +52,19 @@
   return expect != nullptr && strcasecmp(expect->c_str(), "100-continue") == 0;
 }
 
-void SetNoDelay(evutil_socket_t fd) {
+void PrepareSocket(evutil_socket_t fd) {
   // With Nagle's algorithm, an answer sent in several writes would wait for the acknowledgement of
   // the first one.
   int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &kKernelUnsentBytes, sizeof(kKernelUnsentBytes));
+}
+
+// Memory of the headers, of which each takes more than its text.
+size_t HeadBytes(const HttpHead& head) {
+  size_t bytes = head.target.size() + head.headers.size() * sizeof(HeaderList::value_type);
+  for (const auto& [name, value] : head.headers) bytes += name.size() + value.size();
+  return kCopiesOfHead * bytes;
 }
 
 }  // namespace
@@ -56,9 +74,10 @@
       m_bev(bufferevent_socket_new(listener.m_loop.base(), fd, BEV_OPT_CLOSE_ON_FREE)),
       m_body(evbuffer_new()),
       m_reader(HttpReader::Kind::kRequest, listener.m_limits.max_head_bytes),
+      m_memory(listener.m_memory, [this] { OnEvicted(); }),
       m_timer(listener.m_loop, [this] { OnTimer(); }) {
   CHECK(m_bev != nullptr) << "bufferevent_socket_new failed";
-  SetNoDelay(fd);
+  PrepareSocket(fd);
   bufferevent_setcb(m_bev, &DownstreamConnection::OnRead, nullptr, &DownstreamConnection::OnEvent,
                     this);
   // The buffer must hold one byte more than the largest head, so that the reader can recognize a
@@ -91,6 +110,7 @@
   auto* self = static_cast<DownstreamConnection*>(arg);
   self->m_listener.m_loop.BeginCallback(LoopWork::kDownstream);
   self->Read();
+  if (self->CanRead() && !self->m_answers.empty()) self->CountIncoming();
   if (!self->CanRead()) self->DiscardInput();
   self->UpdateReading();
 }
@@ -110,7 +130,7 @@
 void DownstreamConnection::StartReadTimer() { m_timer.Start(m_listener.m_limits.read_timeout); }
 
 bool DownstreamConnection::CanRead() const {
-  return m_state == State::kOpen && m_refusal == 0 && !m_is_broken;
+  return m_state == State::kOpen && m_refusal == 0 && !m_is_broken && !m_discards_input;
 }
 
 // Libevent would otherwise stop reading, and the end of the connection would not be seen.
@@ -147,6 +167,7 @@
     m_request_bytes += length - evbuffer_get_length(input);
     switch (event) {
       case HttpReader::Event::kNeedMore:
+        CountIncoming();
         return;
       case HttpReader::Event::kHead:
         OnHead();
@@ -171,6 +192,13 @@
     Refuse(kHttpContentTooLarge);
     return;
   }
+  if (m_listener.m_memory != nullptr &&
+      !m_listener.m_memory->CanHold(m_head.content_length.value_or(0))) {
+    Refuse(kHttpServiceUnavailable);
+    return;
+  }
+  m_head_bytes = HeadBytes(m_head);
+  if (!CountIncoming()) return;
   // While answers are unfinished, no "100 Continue" can be sent, and only a body that fits into the
   // read-ahead is read.
   bool is_readable = !ExpectsContinue(m_head) && m_head.framing != BodyFraming::kChunked &&
@@ -189,9 +217,12 @@
 
 void DownstreamConnection::OnBody() {
   StartReadTimer();
-  if (evbuffer_get_length(m_body) > m_listener.m_limits.max_body_bytes) {
+  m_body_parts.Append(m_body);
+  if (m_body_parts.size() > m_listener.m_limits.max_body_bytes) {
     Refuse(kHttpContentTooLarge);
+    return;
   }
+  CountIncoming();
 }
 
 // The properties are determined again for a request that has waited, since the configuration may
@@ -229,13 +260,13 @@
 void DownstreamConnection::Dispatch(const PipelinedRequest& properties) {
   m_timer.Cancel();
   m_has_first_byte = false;
-  std::string body(evbuffer_get_length(m_body), '\0');
-  evbuffer_remove(m_body, body.data(), body.size());
+  auto body = HoldBody(m_listener.m_memory, m_body_parts.Take(), m_head_bytes);
   auto request = std::make_unique<DownstreamRequest>(*this, std::move(m_head), std::move(body),
                                                      m_answers.size());
-  m_head = {};
+  ReleaseRequest();
   m_pipeline.Start(properties);
   m_answers.push_back({.request = request.get(), .closes = properties.closes});
+  CountIncoming();
   m_listener.m_handler(std::move(request));
 }
 
@@ -244,22 +275,76 @@
 void DownstreamConnection::Refuse(int status) {
   m_refusal = status;
   m_timer.Cancel();
+  m_body_parts.Clear();
   evbuffer_drain(m_body, evbuffer_get_length(m_body));
   DiscardInput();
-  LOG_EVERY_N(WARNING, 100) << "event=request_unreadable status=" << status
-                            << " error=" << ToString(m_reader.error())
-                            << " ahead=" << m_answers.size();
+  // Refusals for lack of memory have a log line of their own.
+  LOG_IF_EVERY_N(WARNING, status != kHttpServiceUnavailable, 100)
+      << "event=request_unreadable status=" << status << " error=" << ToString(m_reader.error())
+      << " ahead=" << m_answers.size();
   if (m_answers.empty()) SendRefusal();
 }
 
 void DownstreamConnection::SendRefusal() {
-  evbuffer_add_printf(bufferevent_get_output(m_bev),
-                      "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n%s: %s\r\n\r\n",
+  evbuffer* out = bufferevent_get_output(m_bev);
+  evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n%s: %s\r\n",
                       m_refusal, std::string(ReasonPhrase(m_refusal)).c_str(), kOutcomeHeader,
                       kOutcomeNotRun);
+  if (m_refusal == kHttpServiceUnavailable) {
+    evbuffer_add_printf(out, "Retry-After: %d\r\n%s: %s\r\n", kMemoryRetryAfterS, kReasonHeader,
+                        kReasonMemory);
+  }
+  // Without the id an entry node could not tell that its request has not run.
+  if (const std::string* id = FindHeader(m_head.headers, kRequestIdHeader); id != nullptr) {
+    evbuffer_add_printf(out, "%s: %s\r\n", kRequestIdHeader, id->c_str());
+  }
+  evbuffer_add(out, "\r\n", 2);
   Linger();
 }
 
+// Counts all bytes that the connection holds. Refuses or discards what is being read and returns
+// false if they do not fit in the memory of the process. It is not enough to stop reading, since
+// the kernel would hold bytes.
+bool DownstreamConnection::CountIncoming() {
+  if (m_memory.Grow(CurrentUse(), HeldBytes())) return true;
+  if (m_answers.empty()) {
+    Refuse(kHttpServiceUnavailable);
+  } else {
+    DiscardReadAhead();
+  }
+  return false;
+}
+
+// The connection is closed after the last answer in progress, so that the requests behind it are
+// never run.
+void DownstreamConnection::DiscardReadAhead() {
+  m_discards_input = true;
+  m_answers.back().closes = true;
+  m_timer.Cancel();
+  ReleaseRequest();
+  DiscardInput();
+  CountAnswer();
+}
+
+size_t DownstreamConnection::HeldBytes() const {
+  size_t input = evbuffer_get_length(bufferevent_get_input(m_bev));
+  bool is_full = !m_answers.empty() && input >= kReadAheadBytes;
+  return input + (is_full ? kKernelReadAheadBytes : 0) + m_head_bytes + m_body_parts.held_bytes() +
+         evbuffer_get_length(bufferevent_get_output(m_bev)) + HeldAnswerBytes();
+}
+
+MemoryUse DownstreamConnection::CurrentUse() const {
+  return m_answers.empty() ? MemoryUse::kReceiving : MemoryUse::kAnswering;
+}
+
+// Frees what is held of the request being read.
+void DownstreamConnection::ReleaseRequest() {
+  m_head = {};
+  m_head_bytes = 0;
+  m_body_parts.Clear();
+  evbuffer_drain(m_body, evbuffer_get_length(m_body));
+}
+
 void DownstreamConnection::OnTimer() {
   if (m_state == State::kOpen && m_has_first_byte) {
     Refuse(kHttpRequestTimeout);
@@ -273,6 +358,8 @@
   EndIdle();
   m_timer.Start(kLingerTime);
   DiscardInput();
+  ReleaseRequest();
+  m_memory.Charge(MemoryUse::kReceiving, 0);
   // The sending side is shut down as soon as the answer has been sent.
   if (evbuffer_get_length(bufferevent_get_output(m_bev)) == 0) {
     shutdown(bufferevent_getfd(m_bev), SHUT_WR);
@@ -308,6 +395,8 @@
   m_state = State::kClosed;
   m_timer.Cancel();
   EndIdle();
+  ReleaseRequest();
+  m_memory.Charge(MemoryUse::kReceiving, 0);
   bufferevent_disable(m_bev, EV_READ | EV_WRITE);
   bufferevent_setcb(m_bev, nullptr, nullptr, nullptr, nullptr);
 }
--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -11,9 +11,11 @@
 #include <optional>
 #include <string>
 
+#include "body_buffer.h"
 #include "downstream_request.h"
 #include "event_loop.h"
 #include "http_reader.h"
+#include "request_memory.h"
 #include "request_pipeline.h"
 
 struct bufferevent;
@@ -54,6 +56,10 @@
   void Abort(const DownstreamRequest& request, bool reset);
   // Announces the body size of its answer, which begins; large answers are paced.
   void SetAnswerLength(const DownstreamRequest& request, uint64_t bytes);
+  // Must be called when answer bytes have been added to an output.
+  void CountAnswer();
+  // Whether answers must be buffered as little as possible.
+  bool is_memory_short() const;
 
  private:
   enum class State {
@@ -92,6 +98,13 @@
   void Dispatch(const PipelinedRequest& properties);
   void Refuse(int status);
   void SendRefusal();
+  bool CountIncoming();
+  void DiscardReadAhead();
+  size_t HeldBytes() const;
+  size_t HeldAnswerBytes() const;
+  MemoryUse CurrentUse() const;
+  void OnEvicted();
+  void ReleaseRequest();
   void OnTimer();
   void OnWritten(size_t bytes, size_t left);
   void OnAnswerWritten();
@@ -112,9 +125,12 @@
   HttpListener& m_listener;
   bufferevent* m_bev;
   evbuffer_cb_entry* m_output_entry = nullptr;
-  evbuffer* m_body;
+  evbuffer* m_body;         // The part of the body that was read last.
+  BodyBuffer m_body_parts;  // The body so far.
   HttpReader m_reader;
   HttpHead m_head;
+  size_t m_head_bytes = 0;  // Memory that the head of the request being read takes.
+  MemoryShare m_memory;     // Of the request being read, of read-ahead and of unsent answers.
   Timer m_timer;
   // Position among the idle connections of the listener; not set while a request is read, processed
   // or answered.
@@ -125,6 +141,7 @@
   std::deque<Answer> m_answers;   // Of the requests in m_pipeline; it is the turn of the first.
   size_t m_request_bytes = 0;     // Bytes read of the request being read.
   int m_refusal = 0;              // Status of a refusal that waits for its turn; 0: none.
+  bool m_discards_input = false;  // Read-ahead did not fit in memory; its requests never run.
   bool m_is_broken = false;       // An answer was broken off before its turn.
   bool m_has_first_byte = false;  // A byte of the request being read has been received.
   bool m_is_waiting = false;      // The request being read waits for all earlier answers.
--- a/src/downstream_connection_answers.cc
+++ b/src/downstream_connection_answers.cc
@@ -36,7 +36,11 @@
 }
 
 size_t DownstreamConnection::UnsentBytesOf(const DownstreamRequest& request) const {
-  if (IndexOf(request) == 0) return evbuffer_get_length(bufferevent_get_output(m_bev));
+  return IndexOf(request) == 0 ? evbuffer_get_length(bufferevent_get_output(m_bev))
+                               : HeldAnswerBytes();
+}
+
+size_t DownstreamConnection::HeldAnswerBytes() const {
   size_t sum = 0;
   for (const Answer& answer : m_answers) {
     if (answer.held != nullptr) sum += evbuffer_get_length(answer.held.get());
@@ -44,8 +48,37 @@
   return sum;
 }
 
+// Counts answer bytes, which cannot be refused any more.
+void DownstreamConnection::CountAnswer() {
+  if (m_state == State::kOpen) m_memory.Charge(CurrentUse(), HeldBytes());
+}
+
+// Makes space for other requests. A request that is incomplete has not run; an answer is cut off,
+// as its client does not read it.
+void DownstreamConnection::OnEvicted() {
+  if (m_state != State::kOpen) return;
+  if (m_answers.empty()) {
+    if (CanRead()) Refuse(kHttpServiceUnavailable);
+    return;
+  }
+  // Deferred, since the end of the request may start others.
+  m_listener.m_deferred.Post([this] {
+    if (m_state != State::kOpen || m_answers.empty()) return;
+    DownstreamRequest* request = m_answers.front().request;
+    if (request == nullptr) return;
+    // The kernel would keep its part of the answer after an orderly close.
+    SetResetOnClose(bufferevent_getfd(m_bev));
+    request->Abort();
+  });
+}
+
+bool DownstreamConnection::is_memory_short() const {
+  return m_listener.m_memory != nullptr && m_listener.m_memory->is_short();
+}
+
 void DownstreamConnection::OnWritten(size_t bytes, size_t left) {
   if (m_state != State::kOpen || m_answers.empty()) return;
+  CountAnswer();
   Answer& answer = m_answers.front();
   if (answer.paced_bytes > 1) {
     // One byte is kept until EndPacing, since 0 means that the answer is not paced.
@@ -77,6 +110,7 @@
 void DownstreamConnection::FinishAnswer(const DownstreamRequest& request) {
   size_t index = IndexOf(request);
   m_answers[index].is_complete = true;
+  CountAnswer();
   if (index == 0 && evbuffer_get_length(bufferevent_get_output(m_bev)) == 0) PostAnswerWritten();
 }
 
@@ -93,6 +127,7 @@
   m_answers.pop_front();
   m_pipeline.FinishFirst();
   if (request != nullptr) request->m_connection = nullptr;
+  CountAnswer();
   if (closes) {
     Linger();
   } else if (!m_answers.empty()) {
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -18,6 +18,7 @@
 #include "event_loop.h"
 #include "http_headers.h"
 #include "link_pacer.h"
+#include "request_memory.h"
 
 struct evbuffer;
 struct evconnlistener;
@@ -44,8 +45,8 @@
 class DownstreamRequest {
  public:
   // `requests_ahead` is the number of earlier requests of the connection in progress.
-  DownstreamRequest(DownstreamConnection& connection, HttpHead head, std::string body,
-                    size_t requests_ahead);
+  DownstreamRequest(DownstreamConnection& connection, HttpHead head,
+                    std::shared_ptr<const std::string> body, size_t requests_ahead);
   ~DownstreamRequest();
   DownstreamRequest(const DownstreamRequest&) = delete;
   DownstreamRequest& operator=(const DownstreamRequest&) = delete;
@@ -68,6 +69,7 @@
   // The end-to-end headers.
   const HeaderList& headers() const { return m_headers; }
   const std::shared_ptr<const std::string>& body() const { return m_body; }
+  void SetBody(std::shared_ptr<const std::string> body) { m_body = std::move(body); }
   int64_t arrival_us() const { return m_arrival_us; }
   // Number of earlier requests of its connection that were in progress when it was started.
   size_t requests_ahead() const { return m_requests_ahead; }
@@ -93,6 +95,8 @@
   // Answer bytes not yet written to the socket. While earlier requests are being answered, the held
   // bytes of all answers of the connection.
   size_t UnsentBytes() const;
+  // Whether the process is short of memory, so that answers must be buffered as little as possible.
+  bool is_memory_short() const;
   // Answer bytes written to the socket, including head and framing.
   uint64_t written_bytes() const { return m_written; }
 
@@ -172,6 +176,8 @@
   // completely, directly before the handler if the request is started at once. Without a predicate,
   // a request is started after the previous answer has been written.
   void SetOverlapPredicate(OverlapPredicate predicate) { m_may_overlap = std::move(predicate); }
+  // From now on, what new connections hold counts in `memory`, and is refused if it does not fit.
+  void SetMemory(std::shared_ptr<RequestMemory> memory) { m_memory = std::move(memory); }
   // Closes the listening socket; existing connections stay open.
   void StopAccepting();
   // From now on keeps at most `connections` open. Near the limit, a connection is closed after its
@@ -214,6 +220,7 @@
   OverlapPredicate m_may_overlap;
   HttpLimits m_limits;
   LinkPacer* m_pacer = nullptr;
+  std::shared_ptr<RequestMemory> m_memory;
   bool m_closes_after_answers = false;
   DeferredQueue m_deferred;
   std::unique_ptr<evconnlistener, ListenerDeleter> m_listener;
