Limit the share of calls that servers of a version on trial get

What callers saw: a node could not tell servers of a new version from the others, so that a new version got its full share of the calls at once.

Cause: reports of servers name their version, but endpoints did not.

Change: endpoints have the version and whether it is on trial (setting calls.rollouts, off by default; with it off both are absent).

--- a/src/endpoint.h
+++ b/src/endpoint.h
@@ -27,6 +27,10 @@
   bool draining = false;
   MemberState state = MemberState::kAlive;
   uint64_t config_version = 0;
+  // Version of the server's software; empty: not stated, or rollouts are off.
+  std::string version;
+  // The version is on trial, so that entry nodes limit its share of the calls; see canary_share.h.
+  bool is_canary = false;
 };
 
 // All known endpoints, indexed by service and by node name. Immutable once shared.
--- a/src/endpoint_codec.cc
+++ b/src/endpoint_codec.cc
@@ -22,6 +22,8 @@
   out.set_slots(endpoint.slots);
   out.set_link_mbps(endpoint.link_mbps);
   out.set_draining(endpoint.draining);
+  out.set_version(endpoint.version);
+  out.set_is_canary(endpoint.is_canary);
   return out;
 }
 
@@ -38,6 +40,8 @@
   endpoint.slots = message.slots();
   endpoint.link_mbps = message.link_mbps();
   endpoint.draining = message.draining();
+  endpoint.version = message.version();
+  endpoint.is_canary = message.is_canary();
   return entry;
 }
 
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -13,8 +13,12 @@
 // Back-off after a refusal by a node that is stopping or has no server. A node that restarts, or
 // whose server restarts, may accept work again at any moment.
 constexpr int64_t kAbsentBackoffMs = 1'000;
+// After a failed exchange with a node, its server counts as absent for this time in the choice
+// between canaries and other servers.
+constexpr int64_t kUnreachableMs = 3'000;
 // What a node stated about its server is kept for this time after the node was last listed.
 constexpr int64_t kStatementRetentionUs = 60'000'000;
+constexpr int64_t kUsPerMs = 1000;
 
 // Back-off after a node refused a call for `reason`; 0: the time that the node asked for.
 int64_t BackoffMsFor(std::string_view reason) {
@@ -90,17 +94,22 @@
 // A node may leave the list for a moment, when its entry has expired during an outage of the
 // platform, and still must be told of the leave of its server.
 void ServerPicker::RemoveOldStatements(int64_t now_us) {
+  std::erase_if(m_absent_until_us, [&](const auto& entry) { return entry.second <= now_us; });
   std::erase_if(m_server_statements, [&](const auto& entry) {
     bool is_listed = m_endpoints->FindNode(entry.first) != nullptr;
     return !is_listed && now_us - entry.second.received_us > kStatementRetentionUs;
   });
 }
 
-bool ServerPicker::HasLocal(std::string_view service) const {
+bool ServerPicker::IsIn(Pool pool, const Endpoint& endpoint) {
+  return pool == Pool::kAll || endpoint.is_canary == (pool == Pool::kCanary);
+}
+
+bool ServerPicker::HasLocal(Pool pool, std::string_view service) const {
   const std::vector<size_t>& indices = m_endpoints->OfService(service);
-  return std::any_of(indices.begin(), indices.end(), [this](size_t index) {
+  return std::any_of(indices.begin(), indices.end(), [this, pool](size_t index) {
     const Endpoint& endpoint = m_endpoints->all()[index];
-    return IsLive(endpoint) && endpoint.data_centre == m_local_data_centre;
+    return IsLive(endpoint) && IsIn(pool, endpoint) && endpoint.data_centre == m_local_data_centre;
   });
 }
 
@@ -109,9 +118,44 @@
   return endpoint != nullptr && endpoint->data_centre == m_local_data_centre;
 }
 
+bool ServerPicker::IsAbsent(const std::string& node, int64_t now_us) const {
+  auto it = m_absent_until_us.find(node);
+  return it != m_absent_until_us.end() && now_us < it->second;
+}
+
+// A server that refuses calls because it is busy does not count as absent: under overload, the
+// canaries would else get the calls that the other servers refuse.
+ServerPicker::Pool ServerPicker::PoolFor(std::string_view service,
+                                         const std::set<std::string>& excluded, int64_t now_us) {
+  bool has_canary = false;
+  bool has_regular = false;
+  for (size_t index : m_endpoints->OfService(service)) {
+    const Endpoint& endpoint = m_endpoints->all()[index];
+    if (!IsLive(endpoint) || IsAbsent(endpoint.node, now_us)) continue;
+    (endpoint.is_canary ? has_canary : has_regular) = true;
+  }
+  if (!has_canary || !has_regular) return Pool::kAll;
+  if (!excluded.empty()) return Pool::kRegular;
+  std::optional<CanaryShare>& canaries = ServiceOf(service).canaries;
+  if (!canaries) canaries.emplace(m_random.Unit());
+  return canaries->OnCall() ? Pool::kCanary : Pool::kRegular;
+}
+
 const Endpoint* ServerPicker::Pick(std::string_view service, const std::set<std::string>& excluded,
                                    bool may_probe, bool local_only, int64_t now_us) {
-  bool is_restricted = local_only && HasLocal(service);
+  Pool pool = PoolFor(service, excluded, now_us);
+  const Endpoint* server = PickFrom(pool, service, excluded, may_probe, local_only, now_us);
+  if (server != nullptr || pool != Pool::kCanary) return server;
+  return PickFrom(Pool::kRegular, service, excluded, may_probe, local_only, now_us);
+}
+
+// Returns null if `pool` is kCanary and all canaries are backed off.
+const Endpoint* ServerPicker::PickFrom(Pool pool, std::string_view service,
+                                       const std::set<std::string>& excluded, bool may_probe,
+                                       bool local_only, int64_t now_us) {
+  // A canary may be in another data centre than the caller.
+  local_only = local_only && pool != Pool::kCanary;
+  bool is_restricted = local_only && HasLocal(pool, service);
   Service& state = ServiceOf(service);
   std::vector<PlacementCandidate> candidates;
   std::vector<const Endpoint*> servers;
@@ -120,8 +164,13 @@
     for (size_t index : m_endpoints->OfService(service)) {
       const Endpoint& endpoint = m_endpoints->all()[index];
       if (!IsUsable(endpoint, member_state, excluded)) continue;
+      if (!IsIn(pool, endpoint)) continue;
       if (is_restricted && endpoint.data_centre != m_local_data_centre) continue;
-      EjectionState ejection = EjectionStateOf(state.outliers, endpoint.node, now_us);
+      // Canaries keep their share of the calls also if they are slow: the rollout decides on their
+      // answers, and without any it could not.
+      EjectionState ejection = pool == Pool::kCanary
+                                   ? EjectionState::kActive
+                                   : EjectionStateOf(state.outliers, endpoint.node, now_us);
       if (ejection == EjectionState::kProbeDue && may_probe) {
         OnProbeSent(state.outliers, endpoint.node, now_us);
         return &endpoint;
@@ -130,6 +179,8 @@
           .node = endpoint.node, .data_centre = endpoint.data_centre, .slots = endpoint.slots};
       m_tracker.FillCandidate(candidate, now_us);
       candidate.is_backed_off = candidate.is_backed_off || ejection != EjectionState::kActive;
+      bool is_absent = candidate.is_backed_off || IsAbsent(endpoint.node, now_us);
+      if (pool == Pool::kCanary && is_absent) continue;
       candidates.push_back(candidate);
       servers.push_back(&endpoint);
     }
@@ -162,6 +213,7 @@
   if (!HasOutcome(headers, kOutcomeNotRun)) return;
   if (int64_t backoff_ms = BackoffMsFor(HeaderValue(headers, kReasonHeader)); backoff_ms > 0) {
     m_tracker.OnRefusal(node, backoff_ms, now_us);
+    m_absent_until_us[std::string(node)] = now_us + backoff_ms * kUsPerMs;
     return;
   }
   // A quarantine or containment concerns the request and not the node.
@@ -194,6 +246,7 @@
 
 void ServerPicker::OnFailure(std::string_view service, std::string_view node, int64_t now_us) {
   guavatrail::OnFailure(ServiceOf(service).outliers, node, now_us);
+  m_absent_until_us[std::string(node)] = now_us + kUnreachableMs * kUsPerMs;
 }
 
 bool ServerPicker::TakeRetry(std::string_view service) {
--- a/src/server_picker.h
+++ b/src/server_picker.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "canary_share.h"
 #include "endpoint.h"
 #include "hedge_policy.h"
 #include "http_headers.h"
@@ -32,7 +33,8 @@
   // Returns the server for a call to `service`, or null if every server of it is dead, has left, is
   // draining or is in `excluded`. With `may_probe` the call may go as a probe to a server that was
   // ejected for being slow. With `local_only` the call stays in this data centre if the service has
-  // servers there.
+  // servers there. Of the calls of a service with canaries, only a small share goes to them, and
+  // only when `excluded` is empty: a retry goes to a server that is not on trial.
   const Endpoint* Pick(std::string_view service, const std::set<std::string>& excluded,
                        bool may_probe, bool local_only, int64_t now_us);
   const EndpointList& endpoints() const { return *m_endpoints; }
@@ -69,10 +71,19 @@
     OutlierPolicy outliers;
     RetryBudget retries;
     HedgePolicy hedges;
+    std::optional<CanaryShare> canaries = {};  // Set once the service has canaries.
   };
+  // The servers that a call may be placed on.
+  enum class Pool { kAll, kRegular, kCanary };
+  Pool PoolFor(std::string_view service, const std::set<std::string>& excluded, int64_t now_us);
+  bool IsAbsent(const std::string& node, int64_t now_us) const;
+  const Endpoint* PickFrom(Pool pool, std::string_view service,
+                           const std::set<std::string>& excluded, bool may_probe, bool local_only,
+                           int64_t now_us);
   Service& ServiceOf(std::string_view name);
   void RemoveOldStatements(int64_t now_us);
-  bool HasLocal(std::string_view service) const;
+  static bool IsIn(Pool pool, const Endpoint& endpoint);
+  bool HasLocal(Pool pool, std::string_view service) const;
   double RetryReserve() const;
 
   std::string m_placement_name;
@@ -89,6 +100,8 @@
     int64_t received_us = 0;
   };
   std::map<std::string, Statement, std::less<>> m_server_statements;  // By node.
+  // Until when a node that refused a call counts as having no server in service.
+  std::map<std::string, int64_t, std::less<>> m_absent_until_us;
 };
 
 }  // namespace guavatrail
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -32,10 +32,12 @@
   std::vector<std::string> choices;
 };
 struct AddressListRule {};
+struct BooleanRule {};
 
-using Rule = std::variant<IntegerRule, RealRule, TextRule, AddressListRule>;
-using Target = std::variant<int64_t* (*)(Settings&), double* (*)(Settings&),
-                            std::string* (*)(Settings&), std::vector<std::string>* (*)(Settings&)>;
+using Rule = std::variant<IntegerRule, RealRule, TextRule, AddressListRule, BooleanRule>;
+using Target =
+    std::variant<int64_t* (*)(Settings&), double* (*)(Settings&), std::string* (*)(Settings&),
+                 std::vector<std::string>* (*)(Settings&), bool* (*)(Settings&)>;
 
 // One key of the settings file: its place in Settings, the values that it accepts, and its
 // description for the reference page.
@@ -153,6 +155,10 @@
       GUAVATRAIL_REAL(calls, hedge_budget, false, 0.0, 1.0, "Hedged requests allowed per call."),
       GUAVATRAIL_INTEGER(calls, queue_limit, false, 0, 100000,
                          "Requests that may queue at a serving node."),
+      KeySpec{"calls", "rollouts", false, BooleanRule{},
+              +[](Settings& s) -> bool* { return &s.calls.rollouts; },
+              "Whether rollouts of server versions that the operator orders are carried out; only "
+              "with `platform.api = \"metadata_store\"`. The same on all nodes."},
       GUAVATRAIL_REAL(lifecycle, grace_s, false, 1.0, 3600.0,
                       "Seconds from the stop signal until the process is killed."),
       GUAVATRAIL_TEXT(log, directory, false, any,
@@ -214,6 +220,7 @@
       return "";
     }
     std::string operator()(const AddressListRule&) const { return "an array of \"IP:PORT\""; }
+    std::string operator()(const BooleanRule&) const { return "true or false"; }
   };
   return std::visit(Describer{}, rule);
 }
@@ -256,6 +263,11 @@
     *std::get<std::string* (*)(Settings&)>(spec.target)(settings) = *value;
     return true;
   }
+  if (std::holds_alternative<BooleanRule>(spec.rule)) {
+    auto value = node.value_exact<bool>();
+    if (value) *std::get<bool* (*)(Settings&)>(spec.target)(settings) = *value;
+    return value.has_value();
+  }
   const toml::array* array = node.as_array();
   if (array == nullptr) return false;
   std::vector<std::string> addresses;
@@ -406,6 +418,8 @@
       out << *(*real)(defaults);
     } else if (const auto* string = std::get_if<std::string* (*)(Settings&)>(&spec.target)) {
       out << '"' << *(*string)(defaults) << '"';
+    } else if (const auto* boolean = std::get_if<bool* (*)(Settings&)>(&spec.target)) {
+      out << (*(*boolean)(defaults) ? "true" : "false");
     } else {
       out << "[]";
     }
--- a/src/settings.h
+++ b/src/settings.h
@@ -92,6 +92,8 @@
   double shared_retry_reserve = 0;
   double hedge_budget = 0.05;
   int64_t queue_limit = 256;
+  // Whether rollouts of server versions are carried out; see docs/design/rollouts.md.
+  bool rollouts = false;
   bool operator==(const CallsSettings&) const = default;
 };
 
