--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -440,7 +440,7 @@
   call.timer.Cancel();
   bool not_run = !call.may_have_been_sent && !call.exchange->may_have_been_sent();
   bool is_overdue = cause == AbortCause::kServerTimeout;
-  if (is_overdue && !not_run && call.server == m_gate.server) m_failures.OnFailure();
+  if (is_overdue && !not_run) RecordTimeout(call);
   call.exchange.reset();
   if (call.is_keyed())
     FinishOrder(call, not_run ? ExchangeResult::kNotSent : ExchangeResult::kBroken);
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -25,6 +25,7 @@
 #include "metrics.h"
 #include "proxy_error.h"
 #include "random_source.h"
+#include "rollout_counts.h"
 #include "server_registry.h"
 #include "settings.h"
 #include "work_tag.h"
@@ -81,6 +82,11 @@
     m_listener.SetPacer(pacer);
   }
   void SetServerObserver(ServerObserver observer) { m_observer = std::move(observer); }
+  // From now on calls `observer` with each request that the current backend server has answered,
+  // broken off or not answered in time, apart from those that it refused as not run.
+  void SetResultObserver(std::function<void(const ServerResult&)> observer) {
+    m_on_result = std::move(observer);
+  }
   // From now on records in `blame` which requests are running when the backend server crashes and
   // which are answered, calls `on_change` with the fingerprints concerned, and refuses requests in
   // quarantine as not run. `blame` must outlive the proxy.
@@ -151,6 +157,8 @@
   void AnswerNotRun(Call& call, std::string_view reason, int64_t retry_after_ms);
   void AnswerUnknown(Call& call, int status);
   void RecordServerResult(const Call& call, ExchangeResult result);
+  void RecordTimeout(const Call& call);
+  void ReportResult(const Call& call, bool is_failure) const;
   // A timeout counts as a failure of the server; a disconnected entry node does not.
   enum class AbortCause { kServerTimeout, kDownstreamClosed };
   void Abort(Call& call, AbortCause cause);
@@ -172,6 +180,7 @@
   EventLoop& m_loop;
   ExternalProtocol m_protocol;
   ServerObserver m_observer;
+  std::function<void(const ServerResult&)> m_on_result;  // Null: nobody observes.
   std::map<std::string, HttpListener::Handler, std::less<>> m_path_handlers;
   LinkPacer* m_pacer = nullptr;
   AnswerSizeEstimator m_answer_sizes;
--- a/src/serving_proxy_failures.cc
+++ b/src/serving_proxy_failures.cc
@@ -26,12 +26,28 @@
   } else {
     m_failures.OnSuccess();
   }
+  if (call.refusal.empty()) {
+    ReportResult(call,
+                 result == ExchangeResult::kBroken || call.server_status >= kFirstServerError);
+  }
   if (!m_failures.is_unreachable() || !m_gate.is_open) return;
   LOG(WARNING) << "event=server_breaks_off server=" << call.server.id
                << " failing_percent=" << m_failures.percent();
   if (m_observer.on_unreachable) m_observer.on_unreachable(call.server.id);
 }
 
+// For a rollout, it counts as an answer that took this long.
+void ServingProxy::RecordTimeout(const Call& call) {
+  if (call.server != m_gate.server) return;
+  m_failures.OnFailure();
+  ReportResult(call, false);
+}
+
+void ServingProxy::ReportResult(const Call& call, bool is_failure) const {
+  if (!m_on_result || call.server != m_gate.server) return;
+  m_on_result({call.work.name, is_failure, EventLoop::NowUs() - call.start_us});
+}
+
 bool ServingProxy::IsRunning(uint64_t id) const {
   auto it = m_calls.find(id);
   return it != m_calls.end() && it->second->phase == Call::Phase::kRunning;
