Carry out rollouts of a server version that the operator orders

What callers saw: nothing acted on objects of kind rollouts. A new version got its full share of the calls, good or bad, and the operator got no verdict.

Change (off unless calls.rollouts is set): every node reads the orders; one node of the service owns the rollout by a lease in the store (rollout_lease), asks canary and old servers' nodes for their counts (rollout_exchange), and takes the rollout through running, opening, closing and completed, or to rolled_back (rollout_manager, rollout_owner). A step is in the lease before it takes effect; at closing the gates beside the old servers close at once, and the status follows 1.5 to 3 s later. Verdicts stay known in the nodes and are written again when the store has lost them. A canary stops by itself at its share of 40 bad answers while no owner is heard of. Orders of an unknown service or version, and those that cannot be read, change nothing and name the field in a log line.

FakeStore now keeps the status of an object when its spec is written, and serves PUT of a status.

--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -57,6 +57,8 @@
 inline constexpr char kEndpointsPath[] = "/guavatrail/v1/endpoints";
 // Requests that are suspected of crashing servers; see suspect_relay.h.
 inline constexpr char kSuspectsPath[] = "/guavatrail/v1/suspects";
+// Rollouts of server versions; see rollout_exchange.h.
+inline constexpr char kRolloutPath[] = "/guavatrail/v1/rollout";
 inline constexpr std::string_view kProbePathPrefix = "/guavatrail/v1/request/";
 
 inline constexpr char kOutcomeAnswered[] = "answered";
--- a/test/support/fake_store.cc
+++ b/test/support/fake_store.cc
@@ -10,6 +10,7 @@
 using nlohmann::json;
 
 constexpr std::string_view kPrefix = "/guavatrail/objects/";
+constexpr std::string_view kStatusSuffix = "/status";
 
 // Returns the value of query parameter `key`, or an empty string if it is absent.
 std::string QueryValue(const std::string& target, const std::string& key) {
@@ -62,6 +63,8 @@
   size_t slash = path.find('/');
   std::string kind = path.substr(0, slash);
   std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+  bool is_status = name.ends_with(kStatusSuffix);
+  if (is_status) name.resize(name.size() - kStatusSuffix.size());
   if (request->method() == EVHTTP_REQ_GET) {
     std::string watch = QueryValue(request->target(), "watch");
     if (watch.empty()) {
@@ -75,8 +78,12 @@
     OnWatch(std::move(request), kind, std::stoull(watch), wait_ms);
     return;
   }
-  Write write{request->method(), kind, name, json::parse(*request->body(), nullptr, false),
-              NumberOr(QueryValue(request->target(), "rev"), 0)};
+  Write write{request->method(),
+              kind,
+              name,
+              json::parse(*request->body(), nullptr, false),
+              NumberOr(QueryValue(request->target(), "rev"), 0),
+              is_status};
   if (write.body.is_object() && write.body["metadata"].contains("rev")) {
     write.expected_revision = write.body["metadata"]["rev"].get<uint64_t>();
   }
@@ -107,7 +114,11 @@
     Erase(write.kind, write.name);
     return {200, before};
   }
-  if (it->second.value["spec"] != write.body["spec"]) {
+  if (write.is_status) {
+    if (it->second.value["status"] != write.body["status"]) {
+      StoreStatus(write.kind, write.name, write.body["status"]);
+    }
+  } else if (it->second.value["spec"] != write.body["spec"]) {
     Store(write.kind, write.name, write.body["spec"]);
   }
   return {200, objects[write.name].value};
@@ -140,11 +151,21 @@
 
 void FakeStore::Store(const std::string& kind, const std::string& name, const json& spec) {
   Object& object = m_kinds[kind][name];
+  // A write of the spec leaves the status.
+  json status = object.value.is_object() ? object.value["status"] : json();
   object.revision = ++m_revision;
   object.value = {
       {"metadata", {{"name", name}, {"rev", m_revision}, {"finalizers", json::array()}}},
       {"spec", spec},
-      {"status", nullptr}};
+      {"status", status}};
+  RecordChange(kind, object.value, false);
+}
+
+void FakeStore::StoreStatus(const std::string& kind, const std::string& name, const json& status) {
+  Object& object = m_kinds[kind][name];
+  object.revision = ++m_revision;
+  object.value["metadata"]["rev"] = m_revision;
+  object.value["status"] = status;
   RecordChange(kind, object.value, false);
 }
 
@@ -260,6 +281,13 @@
   return it == objects->second.end() ? nullptr : &it->second.value["spec"];
 }
 
+const json* FakeStore::FindStatus(const std::string& kind, const std::string& name) const {
+  auto objects = m_kinds.find(kind);
+  if (objects == m_kinds.end()) return nullptr;
+  auto it = objects->second.find(name);
+  return it == objects->second.end() ? nullptr : &it->second.value["status"];
+}
+
 std::vector<std::string> FakeStore::NamesOf(const std::string& kind) const {
   std::vector<std::string> names;
   auto objects = m_kinds.find(kind);
--- a/test/support/fake_store.h
+++ b/test/support/fake_store.h
@@ -59,6 +59,8 @@
   bool ReplayWrite(size_t number);
 
   const nlohmann::json* Find(const std::string& kind, const std::string& name) const;
+  // The status of an object; null if there is no object.
+  const nlohmann::json* FindStatus(const std::string& kind, const std::string& name) const;
   // The names of the objects of a kind.
   std::vector<std::string> NamesOf(const std::string& kind) const;
   uint64_t revision() const { return m_revision; }
@@ -96,6 +98,7 @@
     std::string name;
     nlohmann::json body;
     uint64_t expected_revision = 0;  // 0: any revision.
+    bool is_status = false;          // Replaces the status and not the spec.
   };
   struct Result {
     int status = 200;
@@ -112,6 +115,7 @@
                uint64_t revision, int64_t wait_ms);
   Result Apply(const Write& write);
   void Store(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+  void StoreStatus(const std::string& kind, const std::string& name, const nlohmann::json& status);
   void Erase(const std::string& kind, const std::string& name);
   void RecordChange(const std::string& kind, const nlohmann::json& object, bool removed);
   nlohmann::json EventsSince(const std::string& kind, uint64_t revision) const;
--- a/test/support/mesh_fixture.h
+++ b/test/support/mesh_fixture.h
@@ -26,6 +26,7 @@
     FakeServer::Handler handler;
     uint64_t sequence = 0;
     std::string server_id;  // In the last heartbeat.
+    std::string version;    // In heartbeats; empty: none.
     // Answers health checks; null: as a server that is in service.
     FakeServer::Handler health_handler;
   };
@@ -85,6 +86,7 @@
     settings.platform.timeout_ms = 300;
     settings.calls.hedge_budget = 0;
     settings.lifecycle.grace_s = 6;
+    settings.calls.rollouts = m_has_rollouts;
     StartNode(vm);
     return vm;
   }
@@ -128,6 +130,7 @@
                            {"state", state},
                            {"seq", ++vm.sequence},
                            {"born", born}};
+    if (!vm.version.empty()) body["version"] = vm.version;
     return SendAndWait(vm.settings.listen.control_port, "PUT", "/guavatrail/instances/" + id, "",
                        body.dump())
         ->status();
@@ -180,6 +183,7 @@
   EventLoop m_loop;
   FakeStore m_store{m_loop};
   std::vector<std::unique_ptr<Vm>> m_vms;
+  bool m_has_rollouts = false;  // Of nodes added from now on.
 };
 
 }  // namespace guavatrail
