Test a version that fails only under load; look for canaries first

What callers saw: nothing yet. The short time at full load before a verdict is what shows a fault that needs load, and no test guarded it. An entry node looked up which nodes are absent for each call, also without any canary.

Change: RolloutVerdictTest.VersionThatFailsUnderLoadIsRolledBack. The choice between canaries and other servers ends at once for a service without canaries.

--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -127,14 +127,16 @@
 // canaries would else get the calls that the other servers refuse.
 ServerPicker::Pool ServerPicker::PoolFor(std::string_view service,
                                          const std::set<std::string>& excluded, int64_t now_us) {
-  bool has_canary = false;
-  bool has_regular = false;
-  for (size_t index : m_endpoints->OfService(service)) {
-    const Endpoint& endpoint = m_endpoints->all()[index];
-    if (!IsLive(endpoint) || IsAbsent(endpoint.node, now_us)) continue;
-    (endpoint.is_canary ? has_canary : has_regular) = true;
-  }
-  if (!has_canary || !has_regular) return Pool::kAll;
+  const std::vector<size_t>& indices = m_endpoints->OfService(service);
+  auto has_server = [&](bool is_canary) {
+    return std::any_of(indices.begin(), indices.end(), [&](size_t index) {
+      const Endpoint& endpoint = m_endpoints->all()[index];
+      return endpoint.is_canary == is_canary && IsLive(endpoint) &&
+             !IsAbsent(endpoint.node, now_us);
+    });
+  };
+  // Mostly there are no canaries, so they are looked for first.
+  if (!has_server(true) || !has_server(false)) return Pool::kAll;
   if (!excluded.empty()) return Pool::kRegular;
   std::optional<CanaryShare>& canaries = ServiceOf(service).canaries;
   if (!canaries) canaries.emplace(m_random.Unit());
--- a/test/platform/rollout_verdict_test.cc
+++ b/test/platform/rollout_verdict_test.cc
@@ -38,6 +38,27 @@
   EXPECT_EQ(RequestsOf("v2"), requests);
 }
 
+// On trial, its servers get too few calls for the fault to show.
+TEST_F(RolloutVerdictTest, VersionThatFailsUnderLoadIsRolledBack) {
+  StartMesh(2, 2);
+  constexpr size_t kBearablePerS = 12;
+  for (auto& vm : m_vms) {
+    if (vm->version != "v2") continue;
+    auto times = std::make_shared<std::list<int64_t>>();
+    vm->handler = [times](FakeConnection& c, const std::string& request) {
+      int64_t now_us = EventLoop::NowUs();
+      times->push_back(now_us);
+      times->remove_if([&](int64_t time_us) { return now_us - time_us > 1'000'000; });
+      (times->size() > kBearablePerS ? Failing() : Good())(c, request);
+    };
+  }
+  Order("v2", 16);
+  ASSERT_TRUE(CallWhile(100, 16, [&] { return State() == "rolled_back"; })) << State();
+  // A tenth of the requests until the time limit, and 50.
+  EXPECT_LE(RequestsOf("v2"), 1'600U / 10 + 50);
+  EXPECT_LE(m_statuses[500], 60);
+}
+
 TEST_F(RolloutVerdictTest, SlowVersionIsRolledBack) {
   StartMesh(2, 2);
   SetHandler("v2", [this](FakeConnection& c, const std::string& request) {
