--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -74,9 +74,11 @@
       m_replies(loop),
       m_protocol(std::move(protocol)),
       m_random(random),
+      m_quota_refusals(metrics),
       m_deferred(loop) {
   DescriptorBudget budget = MakeDescriptorBudget(settings.listen.max_descriptors);
   m_listener.SetMaxConnections(budget.caller_connections);
+  m_listener.SetOverlapPredicate([this](const RequestTarget& t) { return MayOverlap(t); });
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
 
@@ -117,7 +119,8 @@
 void EntryProxy::RefuseRequest(std::unique_ptr<DownstreamRequest> request, int status,
                                std::string_view reason, int64_t retry_after_ms) {
   HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}, {kReasonHeader, std::string(reason)}};
-  if (status == kHttpServiceUnavailable) SetRetryAfterFor(headers, retry_after_ms);
+  bool may_try_later = status == kHttpServiceUnavailable || status == kHttpTooManyRequests;
+  if (may_try_later) SetRetryAfterFor(headers, retry_after_ms);
   FilterNodeHeaders(headers);
   EchoRequestId(*request, headers);
   LOG(INFO) << "event=request_refused id=" << CallerRequestId(*request)
@@ -126,7 +129,20 @@
   m_replies.Reply(std::move(request), status, headers);
 }
 
+// Whether a request is idempotent under the configuration in force.
+bool EntryProxy::MayOverlap(const RequestTarget& target) const {
+  std::shared_ptr<const ConfigTable> table = m_view.table();
+  if (m_draining || table == nullptr || target.path.starts_with(kInternalPathPrefix)) return false;
+  const Route* route = table->MatchRoute(target.path, target.host);
+  const WorkKind* kind = route == nullptr ? nullptr : table->FindWorkKind(route->work);
+  return kind != nullptr && ModeOf(*kind, target.method) == RunMode::kRepeatable;
+}
+
 void EntryProxy::OnRequest(std::unique_ptr<DownstreamRequest> request) {
+  if (size_t ahead = request->requests_ahead(); ahead > 0) {
+    m_metrics.GetCounter("pipelined_requests_total", "ahead=\"" + std::to_string(ahead) + "\"")
+        .Add();
+  }
   if (m_draining) {
     RefuseRequest(std::move(request), kHttpServiceUnavailable, kReasonDraining,
                   kNoTableRetryAfterMs);
@@ -173,9 +189,23 @@
                   kNoTableRetryAfterMs);
     return;
   }
+  if (IsAboveQuota(request, *workspace)) return;
   StartCall(std::move(request), *table, *route, *kind, *workspace, deadline_us);
 }
 
+// Refuses the request if its workspace is above its quota.
+bool EntryProxy::IsAboveQuota(std::unique_ptr<DownstreamRequest>& request,
+                              const Workspace* workspace) {
+  if (m_quotas == nullptr || workspace == nullptr) return false;
+  int64_t now_us = EventLoop::NowUs();
+  auto admitted = m_quotas->Admit(workspace->name, now_us);
+  if (admitted) return false;
+  int64_t retry_after_ms = admitted.error().retry_after_ms;
+  m_quota_refusals.Record(workspace->name, retry_after_ms, now_us);
+  RefuseRequest(std::move(request), kHttpTooManyRequests, kReasonQuota, retry_after_ms);
+  return true;
+}
+
 void EntryProxy::StartCall(std::unique_ptr<DownstreamRequest> request, const ConfigTable& table,
                            const Route& route, const WorkKind& kind, const Workspace* workspace,
                            int64_t deadline_us) {
--- a/src/entry_proxy_answers.cc
+++ b/src/entry_proxy_answers.cc
@@ -42,7 +42,14 @@
   }
 }
 
+// The call does not count for the quota of its workspace, since it has not run.
+void EntryProxy::ReturnQuota(EntryCall& call) {
+  if (m_quotas == nullptr || call.workspace.name.empty() || call.is_answered) return;
+  m_quotas->Return(call.workspace.name, EventLoop::NowUs());
+}
+
 void EntryProxy::AnswerNotRun(EntryCall& call, int64_t retry_after_ms) {
+  ReturnQuota(call);
   HeaderList headers = {{kOutcomeHeader, kOutcomeNotRun}};
   SetRetryAfterFor(headers, retry_after_ms);
   Answer(call, kHttpServiceUnavailable, std::move(headers), CallOutcome::kRefused);
@@ -84,9 +91,11 @@
 void EntryProxy::LogCall(const EntryCall& call, CallOutcome outcome) const {
   LOG(INFO) << "event=request id=" << CallerRequestId(*call.downstream)
             << " try_id=" << call.request_id << " route=" << call.route
-            << " service=" << call.service << " outcome=" << ToString(outcome)
-            << " status=" << call.status << " tries=" << call.attempts_started
-            << " reached=" << call.servers_reached << " last_node=" << call.last_node
+            << " service=" << call.service
+            << " workspace=" << (call.workspace.name.empty() ? "none" : call.workspace.name)
+            << " outcome=" << ToString(outcome) << " status=" << call.status
+            << " tries=" << call.attempts_started << " reached=" << call.servers_reached
+            << " last_node=" << call.last_node
             << " reason=" << (call.last_reason.empty() ? "none" : call.last_reason)
             << " may_have_run=" << call.may_have_run << " config_version=" << call.config_version
             << " endpoints=" << m_picker.endpoints().OfService(call.service).size()
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -59,6 +59,8 @@
 inline constexpr char kSuspectsPath[] = "/guavatrail/v1/suspects";
 // Rollouts of server versions; see rollout_exchange.h.
 inline constexpr char kRolloutPath[] = "/guavatrail/v1/rollout";
+// Reports on the quotas of workspaces; see quota_exchange.h.
+inline constexpr char kQuotaPath[] = "/guavatrail/v1/quota";
 inline constexpr std::string_view kProbePathPrefix = "/guavatrail/v1/request/";
 
 inline constexpr char kOutcomeAnswered[] = "answered";
@@ -87,6 +89,8 @@
 // The request may have crashed backend servers, and this node must not run it now; see
 // crash_containment.h.
 inline constexpr char kReasonContained[] = "contained";
+// The workspace is above its quota; see quota_enforcer.h.
+inline constexpr char kReasonQuota[] = "quota";
 
 inline constexpr size_t kMaxHeaderBytes = 65'536;
 inline constexpr size_t kMaxRequestBodyBytes = 1'048'576;
