--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -59,6 +59,8 @@
 inline constexpr char kEndpointsPath[] = "/guavatrail/v1/endpoints";
 // Requests that are suspected of crashing servers; see suspect_relay.h.
 inline constexpr char kSuspectsPath[] = "/guavatrail/v1/suspects";
+// Rollouts of server versions; see rollout_exchange.h.
+inline constexpr char kRolloutPath[] = "/guavatrail/v1/rollout";
 // Reports on the quotas of workspaces; see quota_exchange.h.
 inline constexpr char kQuotaPath[] = "/guavatrail/v1/quota";
 inline constexpr std::string_view kProbePathPrefix = "/guavatrail/v1/request/";
