--- a/src/admission.h
+++ b/src/admission.h
@@ -81,12 +81,11 @@
 // Runs requests in a fixed number of slots, some of which are reserved for short work, and queues
 // the others in a bounded queue ordered by the importance of the workspace, whether the workspace
 // has used more than its fair share, the importance of the work kind, then earliest objective. If a
-// burst were
-// queued in order of arrival, every answer of it would be late. A request is therefore refused at
-// once if it would end after its objective and after the middle of the time left until its
-// deadline. A request that misses its objective in the queue, or can no longer meet it on arrival,
-// is late: it is queued behind all requests of its importance that can still be in time, on a level
-// with those of the next lower importance, as long as it can meet its deadline.
+// burst were queued in order of arrival, all of its answers would be late. A request is therefore
+// refused at once if it would end after its objective and after the middle of the time left until
+// its deadline. A request that misses its objective in the queue, or can no longer meet it on
+// arrival, is late: it is queued behind all requests of its importance that can still be in time,
+// on a level with those of the next lower importance, as long as it can meet its deadline.
 //
 // While the backend server names a rate limit, a request starts only within it, in the order of the
 // queue; one that would wait too long for its turn is refused at once.
--- a/src/concurrency_limit.cc
+++ b/src/concurrency_limit.cc
@@ -57,9 +57,10 @@
 constexpr double kRecoveryFactor = 1.6;
 // Share of the slots down to which a slow server gets fewer requests to find a knee.
 constexpr double kOverloadShare = 0.5;
-// A server that is always at its limit shows no difference between numbers of requests. It gets
-// fewer for a moment: this share of the limit, for at most this many decisions, if less than the
-// first weight of samples is known there, and until the second is.
+// While a server is always at its limit, nothing is measured at fewer requests. If the weight of
+// the samples below kExploreFactor times the limit is less than kUnknownWeight, the limit is
+// lowered by that factor until the weight reaches kKnownWeight, for at most kExploreDecisions
+// decisions.
 constexpr double kExploreFactor = 0.6;
 constexpr int kExploreDecisions = 3;
 constexpr double kUnknownWeight = 8;
--- a/src/downstream_connection_answers.cc
+++ b/src/downstream_connection_answers.cc
@@ -53,19 +53,23 @@
   if (m_state == State::kOpen) m_memory.Charge(CurrentUse(), HeldBytes());
 }
 
-// Makes space for other requests. A request that is incomplete has not run; an answer is cut off,
-// as its client does not read it.
+// Releases memory for other requests. An incomplete request has not run. If the client has not read
+// its answer, the answer is cut off; otherwise only the read-ahead is discarded.
 void DownstreamConnection::OnEvicted() {
   if (m_state != State::kOpen) return;
   if (m_answers.empty()) {
     if (CanRead()) Refuse(kHttpServiceUnavailable);
     return;
   }
+  if (evbuffer_get_length(bufferevent_get_output(m_bev)) == 0) {
+    if (CanRead()) DiscardReadAhead();
+    return;
+  }
   // Deferred, since the end of the request may start others.
-  m_listener.m_deferred.Post([this] {
+  m_listener.m_deferred.Post([this, evicted = m_answers.front().request] {
     if (m_state != State::kOpen || m_answers.empty()) return;
     DownstreamRequest* request = m_answers.front().request;
-    if (request == nullptr) return;
+    if (request == nullptr || request != evicted) return;
     // The kernel would keep its part of the answer after an orderly close.
     SetResetOnClose(bufferevent_getfd(m_bev));
     request->Abort();
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -95,7 +95,8 @@
 inline constexpr char kReasonQuota[] = "quota";
 // The request does not fit in the memory of the node; see memory_budget.h.
 inline constexpr char kReasonMemory[] = "memory";
-// The entry node and the serving node are the same, which no longer holds the body.
+// The request names a body that its node was to hand to itself, but that the node no longer holds;
+// see local_bodies.h.
 inline constexpr char kReasonBodyGone[] = "body_gone";
 
 inline constexpr size_t kMaxHeaderBytes = 65'536;
--- a/src/quota_codec.cc
+++ b/src/quota_codec.cc
@@ -78,7 +78,7 @@
 
 std::string EncodeQuotaReply(const QuotaReply& reply) {
   pb::QuotaReply out;
-  out.set_group(reply.group);
+  out.set_group(reply.reporting_share);
   for (const QuotaLimit& limit : reply.limits) {
     pb::QuotaLimit& entry = *out.add_limits();
     entry.set_workspace(limit.workspace);
@@ -117,13 +117,17 @@
   if (!(message.group() >= 0 && message.group() <= 1))
     return Fail("quota reply: group out of range");
   if (!AreValid(message.limits())) return Fail("quota reply: limits out of range");
-  QuotaReply reply{.group = message.group()};
+  QuotaReply reply{.reporting_share = message.group()};
   for (const pb::QuotaLimit& limit : message.limits()) {
     reply.limits.push_back({.workspace = limit.workspace(),
                             .share = limit.share(),
                             .rate_per_s = limit.rate_per_s(),
                             .burst = limit.burst()});
   }
+  bool is_sorted = std::is_sorted(
+      reply.limits.begin(), reply.limits.end(),
+      [](const QuotaLimit& a, const QuotaLimit& b) { return a.workspace < b.workspace; });
+  if (!is_sorted) return Fail("quota reply: limits are not sorted by workspace");
   return reply;
 }
 
--- a/src/quota_enforcer.cc
+++ b/src/quota_enforcer.cc
@@ -113,20 +113,21 @@
   return is_admitted;
 }
 
-bool QuotaEnforcer::TakeAlone(State& state, int64_t now_us) {
-  LoneTokens& lone = state.lone;
+bool QuotaEnforcer::TakeUncoordinated(State& state, int64_t now_us) {
+  UncoordinatedTokens& lone = state.lone;
   double rate_per_s = PartOf(state.rate_per_s);
-  if (state.lone_updated_us < 0) {
+  if (state.uncoordinated_updated_us < 0) {
     // No token is left over from before the node was alone, and what it has admitted since the last
     // reply beyond its part is paid back.
-    state.lone_updated_us =
+    state.uncoordinated_updated_us =
         m_has_reply ? m_valid_until_us : std::min(now_us, m_start_us + kStartUs);
-    double alone_s = SecondsBetween(m_has_reply ? m_sent_us : m_start_us, state.lone_updated_us);
+    double alone_s =
+        SecondsBetween(m_has_reply ? m_sent_us : m_start_us, state.uncoordinated_updated_us);
     double debt = std::max(0.0, Net(state.counters) - state.net_at_reply - rate_per_s * alone_s);
     lone = {.produced = m_random.Unit() - debt};
   }
-  lone.produced += rate_per_s * SecondsBetween(state.lone_updated_us, now_us);
-  state.lone_updated_us = now_us;
+  lone.produced += rate_per_s * SecondsBetween(state.uncoordinated_updated_us, now_us);
+  state.uncoordinated_updated_us = now_us;
   // A token is kept for as long as the bucket takes to fill.
   double kept = rate_per_s * state.capacity / state.rate_per_s;
   lone.first_unused = std::max(lone.first_unused, std::ceil(lone.produced - kept));
@@ -138,7 +139,7 @@
 bool QuotaEnforcer::IsAdmitted(State& state, int64_t now_us) {
   if (!HasOwnToken(state, now_us)) return false;
   if (IsCoordinated(now_us)) return TakeWithinLimit(state, now_us);
-  if (m_has_reply || now_us - m_start_us >= kStartUs) return TakeAlone(state, now_us);
+  if (m_has_reply || now_us - m_start_us >= kStartUs) return TakeUncoordinated(state, now_us);
   if (!state.start_tokens) {
     state.start_tokens = PartOf(state.rate_per_s + kStartRequests) + m_random.Unit();
   }
@@ -213,6 +214,7 @@
            state.snapshots[1].time_us <= now_us - QuotaBaseAgeUs(m_nodes)) {
       state.snapshots.pop_front();
     }
+    if (report.usages.size() >= kMaxQuotaEntries) break;
     report.usages.push_back(
         {.workspace = name, .total = state.counters, .base = state.snapshots.front().counters});
     state.snapshots.push_back({now_us, state.counters});
@@ -226,17 +228,17 @@
       sent_us + QuotaReplyValidUs(m_nodes) <= now_us || (m_has_reply && sent_us < m_sent_us);
   if (is_late) return false;
   bool is_other = IsCoordinated(now_us) && coordinator != m_coordinator;
-  if (is_other && reply.group < kMinGroupPart * m_group) return false;
+  if (is_other && reply.reporting_share < kMinGroupPart * m_group) return false;
   m_has_reply = true;
   m_coordinator = coordinator;
-  m_group = reply.group;
+  m_group = reply.reporting_share;
   m_sent_us = sent_us;
   m_valid_until_us = sent_us + QuotaReplyValidUs(m_nodes);
   auto next = reply.limits.begin();
   for (auto& [name, state] : m_workspaces) {
     while (next != reply.limits.end() && next->workspace < name) ++next;
     bool is_listed = next != reply.limits.end() && next->workspace == name;
-    state.lone_updated_us = -1;
+    state.uncoordinated_updated_us = -1;
     state.net_at_reply = Net(state.counters);
     state.recent_per_s = RecentPerS(state, now_us);
     bool was_limited = state.limit.has_value();
--- a/src/quota_enforcer.h
+++ b/src/quota_enforcer.h
@@ -63,7 +63,7 @@
   // Tokens of a node without a coordinator. They come at even intervals, with a random offset on
   // each node, and each may be used for a limited time. Nodes that each kept one token for later
   // would together exceed a quota of few requests a second.
-  struct LoneTokens {
+  struct UncoordinatedTokens {
     double produced = 0;      // Tokens, whole and in part, since the node was alone.
     double first_unused = 1;  // Number of the next token to use.
   };
@@ -87,15 +87,15 @@
     double limit_tokens = 0;  // Within the rate and burst of the limit.
     int64_t limit_updated_us = 0;
     double net_at_reply = 0;  // Admitted less returned at the time of the last reply.
-    LoneTokens lone;
-    int64_t lone_updated_us = -1;        // -1: not alone.
-    std::optional<double> start_tokens;  // Until the first reply.
+    UncoordinatedTokens lone;
+    int64_t uncoordinated_updated_us = -1;  // -1: not alone.
+    std::optional<double> start_tokens;     // Until the first reply.
   };
 
   bool IsAdmitted(State& state, int64_t now_us);
   static bool HasOwnToken(State& state, int64_t now_us);
   bool TakeWithinLimit(State& state, int64_t now_us);
-  bool TakeAlone(State& state, int64_t now_us);
+  bool TakeUncoordinated(State& state, int64_t now_us);
   void LimitIfSilent(State& state, int64_t now_us) const;
   double PartOf(double rate_per_s) const;
   static void RefillLimit(State& state, int64_t now_us);
--- a/src/quota_ledger.cc
+++ b/src/quota_ledger.cc
@@ -35,7 +35,7 @@
 // A node belongs to the group until it has missed two reports.
 constexpr double kGroupPeriods = 2.5;
 // Time after its begin in which a ledger saves no tokens.
-constexpr int64_t kYoungUs = 1'000'000;
+constexpr int64_t kWarmUpUs = 1'000'000;
 // After this time without reports the levels are unknown again.
 constexpr int64_t kIdleUs = 3'000'000;
 constexpr int64_t kIdlePeriods = 4;
@@ -127,7 +127,7 @@
 }
 
 double QuotaLedger::CapacityOf(const Bucket& bucket, int64_t now_us) const {
-  return now_us - m_first_us < kYoungUs ? 0 : bucket.capacity * m_group;
+  return now_us - m_first_us < kWarmUpUs ? 0 : bucket.capacity * m_group;
 }
 
 void QuotaLedger::Refill(Bucket& bucket, int64_t now_us) const {
@@ -278,7 +278,7 @@
   auto known = m_nodes.find(report.node);
   bool is_late_copy = known != m_nodes.end() && known->second.process == report.process &&
                       report.time_us < known->second.time_us;
-  if (is_late_copy) return {.group = m_group};
+  if (is_late_copy) return {.reporting_share = m_group};
   Node& node = UpdateNode(report, now_us);
   for (const QuotaUsage& usage : report.usages) Count(node, usage, now_us);
   UpdateRates(node, report);
@@ -295,7 +295,7 @@
 }
 
 QuotaReply QuotaLedger::MakeReply(const Node& node, int64_t now_us) {
-  QuotaReply reply{.group = m_group};
+  QuotaReply reply{.reporting_share = m_group};
   for (auto limited = m_limited.begin(); limited != m_limited.end();) {
     auto item = m_buckets.find(*limited);
     Refill(item->second, now_us);
--- a/src/quota_report.h
+++ b/src/quota_report.h
@@ -48,8 +48,8 @@
 
 // A workspace that is not listed is far below its quota.
 struct QuotaReply {
-  double group = 0;  // Fraction of the known nodes that report to the coordinator.
-  std::vector<QuotaLimit> limits;
+  double reporting_share = 0;      // Fraction of the known nodes that report to the coordinator.
+  std::vector<QuotaLimit> limits;  // Sorted by workspace.
   bool operator==(const QuotaReply&) const = default;
 };
 
--- a/src/request_memory.cc
+++ b/src/request_memory.cc
@@ -13,10 +13,9 @@
 namespace {
 
 constexpr int64_t kLogPeriodUs = 1'000'000;
-// The allocator keeps blocks below its threshold for separate mappings when they are freed, such as
-// those of input and heads: after a crowd of 1,600 clients with large heads and one of 24 with
-// large bodies, 78 MB stayed resident, and 51 MB if free memory is returned. It is returned when
-// this share of the budget has been freed: within a second, or sooner if a large request needs it.
+// The allocator keeps freed blocks below its mmap threshold, such as those of input and heads. They
+// are returned to the system with malloc_trim() when this share of the budget has been freed:
+// within a second, or sooner if a large request needs the memory.
 constexpr int64_t kReturnDivisor = 8;
 constexpr int64_t kReturnPeriodUs = 1'000'000;
 constexpr int64_t kNeededReturnPeriodUs = 100'000;
@@ -67,7 +66,7 @@
   m_held->Set(static_cast<double>(m_budget.held_bytes()));
 }
 
-// Logged once a second at most, since a crowd is refused as fast as it sends.
+// Logged at most once a second, since many clients may be refused at the same time.
 void RequestMemory::ReportRefused(std::string_view reason, int64_t bytes) {
   ++m_refused;
   if (m_metrics != nullptr) {
--- a/src/rollout_codec.cc
+++ b/src/rollout_codec.cc
@@ -25,8 +25,8 @@
   }
   int64_t times = 0;
   for (uint32_t time : counts.times()) times += time;
-  return counts.failures() >= 0 && counts.answers() <= kMaxCount &&
-         counts.failures() + times <= counts.answers();
+  return counts.failures() >= 0 && counts.failures() <= counts.answers() &&
+         counts.answers() <= kMaxCount && times <= counts.answers() - counts.failures();
 }
 
 void Encode(std::string_view kind, const KindCounts& counts, pb::RolloutKindCounts& out) {
--- a/src/rollout_decision.h
+++ b/src/rollout_decision.h
@@ -81,6 +81,9 @@
   void OnReport(std::string_view node, std::string_view run, bool is_canary, const WorkCounts& work,
                 int64_t now_us);
 
+  // Changes the time limit of the rollout and keeps the counts.
+  void SetStep(int64_t step_us) { m_step_us = step_us; }
+
   // Queries.
   // `elapsed_us`: since the order. `canaries`, `old_servers`: servers that are listed now.
   RolloutVerdict Decide(int64_t elapsed_us, size_t canaries, size_t old_servers, int64_t now_us);
--- a/src/server_picker.cc
+++ b/src/server_picker.cc
@@ -27,9 +27,9 @@
   return 0;
 }
 
-// Placement by completion time avoids a slow server by itself, as far as it is slow, so an ejection
-// has to bridge only the time until the first reports. At six calls a second of each entry node,
-// the defaults took over 10 s until a recovered server had its work again.
+// Placement by completion time already sends less work to a slow server, so an ejection only has to
+// cover the time until the first load reports. The default options would delay the return of a
+// recovered server by more than 10 s when each entry node has few calls.
 OutlierDetector::Options QuickReinstatement() {
   return {.probes_to_reinstate = 1,
           .base_ejection_us = 500'000,
--- a/src/server_picker.h
+++ b/src/server_picker.h
@@ -100,7 +100,8 @@
     int64_t received_us = 0;
   };
   std::map<std::string, Statement, std::less<>> m_server_statements;  // By node.
-  // Until when a node that refused a call counts as having no server in service.
+  // Time until which a node counts as having no server in service, after a refusal that says so or
+  // a failed exchange.
   std::map<std::string, int64_t, std::less<>> m_absent_until_us;
 };
 
--- a/test/correctness/quota_enforcer_test.cc
+++ b/test/correctness/quota_enforcer_test.cc
@@ -27,7 +27,7 @@
     return admitted;
   }
   static QuotaReply Limited(double share, double rate_per_s, double burst) {
-    return {.group = 1, .limits = {{kName, share, rate_per_s, burst}}};
+    return {.reporting_share = 1, .limits = {{kName, share, rate_per_s, burst}}};
   }
 
   int64_t m_now_us = 100 * kUsPerS;
@@ -63,12 +63,12 @@
 
 // A node never admits more than the whole quota itself, whatever a reply says.
 TEST_F(QuotaEnforcerTest, OneNodeStaysWithinTheQuota) {
-  Reply({.group = 1});
+  Reply({.reporting_share = 1});
   int admitted = Admit(10'000);
   EXPECT_LE(admitted, 110);
   for (int i = 0; i < 10; ++i) {
     m_now_us += 100'000;
-    Reply({.group = 1});
+    Reply({.reporting_share = 1});
     admitted += Admit(1'000);
   }
   EXPECT_LE(admitted, 210);
@@ -76,32 +76,32 @@
 
 // A paused coordinator answers late, and what it grants then is of the past.
 TEST_F(QuotaEnforcerTest, LateReplyIsNotApplied) {
-  EXPECT_FALSE(m_enforcer.OnReply("node-1", m_now_us - kUsPerS, {.group = 1}, m_now_us));
+  EXPECT_FALSE(m_enforcer.OnReply("node-1", m_now_us - kUsPerS, {.reporting_share = 1}, m_now_us));
   EXPECT_FALSE(m_enforcer.IsCoordinated(m_now_us));
-  EXPECT_TRUE(m_enforcer.OnReply("node-1", m_now_us - 900'000, {.group = 1}, m_now_us));
+  EXPECT_TRUE(m_enforcer.OnReply("node-1", m_now_us - 900'000, {.reporting_share = 1}, m_now_us));
   EXPECT_TRUE(m_enforcer.IsCoordinated(m_now_us));
   EXPECT_FALSE(m_enforcer.IsCoordinated(m_now_us + 100'000));
 }
 
 TEST_F(QuotaEnforcerTest, ReplyToAnEarlierReportIsNotApplied) {
   ASSERT_TRUE(m_enforcer.OnReply("node-1", m_now_us, Limited(0, 0, 0), m_now_us));
-  EXPECT_FALSE(m_enforcer.OnReply("node-1", m_now_us - 1'000, {.group = 1}, m_now_us));
+  EXPECT_FALSE(m_enforcer.OnReply("node-1", m_now_us - 1'000, {.reporting_share = 1}, m_now_us));
   EXPECT_EQ(Admit(100), 0);
 }
 
 // Right after a change of the coordinator, few nodes have reported to the new one.
 TEST_F(QuotaEnforcerTest, CoordinatorOfFewNodesWaitsForTheEndOfTheFormerReply) {
-  ASSERT_TRUE(Reply({.group = 1}, "node-1"));
-  EXPECT_FALSE(Reply({.group = 0.1}, "node-3"));
-  EXPECT_TRUE(Reply({.group = 0.95}, "node-3"));
-  EXPECT_TRUE(Reply({.group = 0.4}, "node-3"));
+  ASSERT_TRUE(Reply({.reporting_share = 1}, "node-1"));
+  EXPECT_FALSE(Reply({.reporting_share = 0.1}, "node-3"));
+  EXPECT_TRUE(Reply({.reporting_share = 0.95}, "node-3"));
+  EXPECT_TRUE(Reply({.reporting_share = 0.4}, "node-3"));
   m_now_us += kUsPerS;
-  EXPECT_TRUE(Reply({.group = 0.1}, "node-1"));
+  EXPECT_TRUE(Reply({.reporting_share = 0.1}, "node-1"));
 }
 
 TEST_F(QuotaEnforcerTest, SilentCoordinatorEndsFreeAdmission) {
   m_enforcer.SetNodeCount(60);
-  Reply({.group = 1});
+  Reply({.reporting_share = 1});
   m_now_us += 600'000;
   EXPECT_LE(Admit(1'000), 4);
 }
@@ -114,7 +114,7 @@
     QuotaEnforcer enforcer("node", i, m_random);
     enforcer.SetQuotas({{kName, {.name = kName, .rate_per_s = 5, .burst = 5}}}, 0);
     enforcer.SetNodeCount(kNodes);
-    enforcer.OnReply("node-1", 0, {.group = 1}, 0);
+    enforcer.OnReply("node-1", 0, {.reporting_share = 1}, 0);
     for (int64_t ms = 1'000; ms < 6'000; ms += 10) {
       admitted += enforcer.Admit(kName, ms * 1'000) ? 1 : 0;
     }
--- a/test/correctness/quota_ledger_test.cc
+++ b/test/correctness/quota_ledger_test.cc
@@ -62,7 +62,7 @@
 TEST_F(QuotaLedgerTest, DemandBelowTheQuotaIsNotListed) {
   QuotaReply reply = Run(4, 4, 4, 20);
   EXPECT_TRUE(reply.limits.empty());
-  EXPECT_EQ(reply.group, 1);
+  EXPECT_EQ(reply.reporting_share, 1);
 }
 
 TEST_F(QuotaLedgerTest, ShareSuitsTheDemand) {
@@ -115,7 +115,7 @@
 TEST_F(QuotaLedgerTest, GroupIsThePartOfTheNodesThatReport) {
   Run(4, 25, 10, 8);
   QuotaReply reply = Run(2, 25, 10, 8);
-  EXPECT_EQ(reply.group, 0.5);
+  EXPECT_EQ(reply.reporting_share, 0.5);
   // The other half of the nodes may have another coordinator.
   EXPECT_LE(m_ledger.LevelOf(kName), 50);
   EXPECT_LE(reply.limits.at(0).share, 0.5);
--- a/test/correctness/quota_of_calls_test.cc
+++ b/test/correctness/quota_of_calls_test.cc
@@ -46,7 +46,7 @@
       [](FakeConnection& c, const std::string& r) { c.Send(NodeAnswer(r, 200, "answered", "a")); });
   StartWithQuota();
   int64_t now_us = EventLoop::NowUs();
-  m_quotas.OnReply("node-1", now_us, {.group = 1, .limits = {{"loja", 0, 0, 0}}}, now_us);
+  m_quotas.OnReply("node-1", now_us, {.reporting_share = 1, .limits = {{"loja", 0, 0, 0}}}, now_us);
   auto answer = SendAndWait("GET", "/pecas/1", kKey);
   EXPECT_EQ(answer->status(), 429);
   EXPECT_EQ(answer->header("X-Guavatrail-Outcome"), "not-run");
--- a/test/error/quota_messages_are_checked_test.cc
+++ b/test/error/quota_messages_are_checked_test.cc
@@ -21,7 +21,7 @@
           .usages = {{"loja", {30, 20, 1}, {10, 10, 0}}, {"loja-2", {1, 1, 0}, {}}}};
 }
 
-QuotaReply GoodReply() { return {.group = 0.5, .limits = {{"loja", 0.25, 12.5, 3}}}; }
+QuotaReply GoodReply() { return {.reporting_share = 0.5, .limits = {{"loja", 0.25, 12.5, 3}}}; }
 
 TEST(QuotaMessagesAreChecked, MessagesAreDecodedAsEncoded) {
   EXPECT_EQ(DecodeQuotaReport(EncodeQuotaReport(GoodReport())).value(), GoodReport());
@@ -53,7 +53,7 @@
 TEST(QuotaMessagesAreChecked, ImpossibleRepliesAreRejected) {
   for (double value : {-0.1, std::nan(""), kInfinity}) {
     QuotaReply reply = GoodReply();
-    reply.group = value;
+    reply.reporting_share = value;
     EXPECT_FALSE(DecodeQuotaReply(EncodeQuotaReply(reply)));
     reply = GoodReply();
     reply.limits[0].share = value;
