--- a/test/correctness/memory_budget_evicts_longest_stalled_test.cc
+++ b/test/correctness/memory_budget_evicts_longest_stalled_test.cc
@@ -77,6 +77,7 @@
 // Answers that are ready are given up only if clients do not read them and nothing else is left.
 TEST_F(MemoryBudgetEviction, UnreadAnswersGoLast) {
   std::vector<uint64_t> answers;
+  answers.reserve(80);
   for (int i = 0; i < 80; ++i) answers.push_back(Add(MemoryUse::kAnswering, kMb / 10, i));
   uint64_t read = answers[0];
   m_budget.Charge(read, MemoryUse::kAnswering, kMb / 10 - 1000, 4 * kSecond);
--- a/test/correctness/memory_budget_keeps_a_reserve_test.cc
+++ b/test/correctness/memory_budget_keeps_a_reserve_test.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr int64_t kMb = 1'000'000;
-constexpr int64_t kLargestBody = 64 * 1'048'576;
+constexpr int64_t kLargestBody = int64_t{64} * 1'048'576;
 
 TEST(MemoryBudgetReserve, LargestBodyFitsInTheSmallestVm) {
   MemoryBudget budget(MemoryBudget::CapacityOf(160));
--- a/test/error/answer_status_range_test.cc
+++ b/test/error/answer_status_range_test.cc
@@ -12,12 +12,13 @@
   StartGuarded();
   for (const std::string status : {"000", "0", "001", "099", "600", "999"}) {
     for (const std::string framing : {"", "Content-Length: 0\r\n", "Content-Length: 2\r\n"}) {
-      SCOPED_TRACE("status " + status + ", " + framing);
+      std::string head = "HTTP/1.1 " + status;
+      head.append(" Odd\r\nX-Id: 1\r\n").append(framing).append("\r\n");
+      SCOPED_TRACE(head);
       auto client = Send("GET", "/1", Repeatable("1"));
       ASSERT_TRUE(WaitForRunning(1));
       // The server keeps the connection open.
-      AnswerWith("HTTP/1.1 " + status + " Odd\r\nX-Id: 1\r\n" + framing + "\r\n" +
-                 (framing.ends_with("2\r\n") ? "ok" : ""));
+      AnswerWith(head + (framing.ends_with("2\r\n") ? "ok" : ""));
       ASSERT_TRUE(RunUntil(m_loop, [&] { return client->HasCompleteAnswer(); }));
       EXPECT_EQ(client->status(), kHttpBadGateway);
       EXPECT_EQ(client->header("X-Guavatrail-Outcome"), "unknown");
--- a/test/error/closing_answer_ends_pipeline_test.cc
+++ b/test/error/closing_answer_ends_pipeline_test.cc
@@ -71,6 +71,7 @@
   auto client = Connect(Get("/lookups/1"));
   ASSERT_TRUE(WaitForCalls(1));
   std::vector<std::unique_ptr<FakeClient>> others;
+  others.reserve(3);
   for (int i = 0; i < 3; ++i) others.push_back(Connect(""));
   ASSERT_TRUE(RunUntil(m_loop, [&] { return m_listener.connections() == 4; }));
   client->Send(Get("/lookups/2") + Get("/lookups/3"));
--- a/test/error/requests_over_memory_are_refused_test.cc
+++ b/test/error/requests_over_memory_are_refused_test.cc
@@ -143,7 +143,9 @@
   client->PauseReading();
   bool has_ended = false;
   m_requests[0]->SetEndHandler([&](bool written) { has_ended = !written; });
-  m_requests[0]->Reply(200, {}, std::string(20'000'000, 'x'));
+  std::string body;
+  body.resize(20'000'000, 'x');
+  m_requests[0]->Reply(200, {}, body);
   RunFor(m_loop, std::chrono::milliseconds(200));
   EXPECT_TRUE(m_requests[0]->is_memory_short());
   ExpectRefused(*Send(kGet));
--- a/test/error/rollout_messages_test.cc
+++ b/test/error/rollout_messages_test.cc
@@ -11,7 +11,8 @@
 RolloutReport MakeReport() {
   RolloutCounts counts;
   counts.Start(0, 0);
-  for (int i = 0; i < 50; ++i) counts.OnResult({"lookup", i % 7 == 0, 900 * i}, 20'000'000);
+  for (int i = 0; i < 50; ++i)
+    counts.OnResult({"lookup", i % 7 == 0, int64_t{900} * i}, 20'000'000);
   return {.target = "v2",
           .phase = RolloutPhase::kOpening,
           .version = "v2",
