--- a/src/quota_codec.cc
+++ b/src/quota_codec.cc
@@ -15,9 +15,6 @@
 constexpr int64_t kMinTimeUs = -60'000'000;
 constexpr int64_t kMaxTimeUs = int64_t{1} << 62U;
 
-// False for infinities and NaN also.
-bool IsRate(double value) { return value >= 0 && value <= kMaxRatePerS; }
-
 bool IsValid(const pb::QuotaCounters& counters) {
   return counters.offered() <= kMaxCount && counters.admitted() <= counters.offered() &&
          counters.returned() <= counters.admitted();
@@ -29,7 +26,7 @@
 
 bool IsValid(const pb::QuotaLimit& limit) {
   return IsWorkspaceName(limit.workspace()) && limit.share() >= 0 && limit.share() <= 1 &&
-         IsRate(limit.rate_per_s()) && IsRate(limit.burst());
+         IsQuotaValue(limit.rate_per_s()) && IsQuotaValue(limit.burst());
 }
 
 template <typename Message>
