--- a/test/memory/crowd.py
+++ b/test/memory/crowd.py
@@ -30,12 +30,12 @@
 
 
 class Client:
-    """Sends a POST with `header` and the byte strings `body`. Ends when all is sent or the node cuts
-    it, and stays open until close()."""
+    """Sends a request with `header` and the byte strings `body`. Ends when all is sent or the node
+    cuts it, and stays open until close()."""
 
-    def __init__(self, address, target, header, body):
+    def __init__(self, address, target, header, body, method):
         self.socket = socket.create_connection(address, WAIT_S)
-        head = f"POST {target} HTTP/1.1\r\nHost: {HOST}\r\n{header}\r\n\r\n"
+        head = f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\n{header}\r\n\r\n"
         self.thread = threading.Thread(target=self.send, args=(head.encode(), body), daemon=True)
 
     def send(self, head, body):
@@ -51,8 +51,8 @@
     def __init__(self, address, target):
         self.address, self.target, self.clients = address, target, []
 
-    def add(self, header, body):
-        self.clients.append(Client(self.address, self.target, header, body))
+    def add(self, header, body, method="POST"):
+        self.clients.append(Client(self.address, self.target, header, body, method))
 
     def add_length(self, length, sent, piece):
         self.add(f"Content-Length: {length}", pieces(sent, piece))
--- a/test/memory/site_under_test.py
+++ b/test/memory/site_under_test.py
@@ -1,5 +1,6 @@
 """Two nodes as real processes on loopback addresses, with the stand-ins of the soak for the store
-and the servers. The server of the first node answers nothing under /slow/."""
+and the servers. The server of the first node answers nothing under /slow/; under /large/ each server
+answers with LARGE_ANSWER_BYTES."""
 import asyncio
 import os
 import pathlib
@@ -13,24 +14,28 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "test" / "soak"))
 from backend import Backend  # noqa: E402
+from node_usage import NodeUsage  # noqa: E402
 from store import Store  # noqa: E402
+from wire import respond  # noqa: E402
 
 CALLER, PEER, CONTROL, READY, ADMIN, SERVER, STORE = 7401, 7402, 7403, 7404, 7405, 7406, 7407
 HOST = "shop.example"
 WAIT_S = 60  # Limit on each wait of the harness, not a requirement on the nodes.
 # Deadline of all calls; longer than WAIT_S, so that no check depends on it.
 DEADLINE_S = 120
+LARGE_ANSWER_BYTES = 200_000
 
 
-def config(max_body_bytes):
+def config(max_body_bytes, version=1, limits=None):
     def rule(name, prefix, service):
         return {"name": name, "route-kind": "idempotent", "goal-s": 60, "priority": 1,
                 "match": {"path-prefix": prefix},
                 "action": {"service": service, "timeout-s": DEADLINE_S, "attempts": 2}}
-    return {"version": 1, "limits": {"max-body-bytes": max_body_bytes},
-            "listeners": [{"authority": HOST, "ruleset": [rule("parts", "/parts/", "catalogo"),
-                                                          rule("slow", "/slow/", "encomendas"),
-                                                          rule("own", "/own/", "encomendas")]}],
+    ruleset = [rule("parts", "/parts/", "catalogo"), rule("slow", "/slow/", "encomendas"),
+               rule("own", "/own/", "encomendas"), rule("large", "/large/", "catalogo"),
+               rule("own-large", "/large/own/", "encomendas")]
+    return {"version": version, "limits": {"max-body-bytes": max_body_bytes, **(limits or {})},
+            "listeners": [{"authority": HOST, "ruleset": ruleset}],
             "clusters": [{"name": "catalogo"}, {"name": "encomendas"}]}
 
 
@@ -38,29 +43,24 @@
     async def answer(self, message, writer):
         if message.target.startswith("/slow/"):
             await asyncio.sleep(10 * DEADLINE_S)
+        if message.target.startswith("/large/"):
+            headers = [("X-Request-Id", message.headers.get("x-request-id", "")),
+                       ("X-Response-Stamp", "large")]
+            await respond(writer, 200, headers, b"x" * LARGE_ANSWER_BYTES)
+            return True
         return await super().answer(message, writer)
 
 
-class Node:
+class Node(NodeUsage):
     def __init__(self, number, service, net):
-        self.name, self.service = f"node-{number}", service
-        self.ip, self.server_ip = f"127.{net}.1.{number}", f"127.{net}.4.{number}"
-        self.process = None
-
-    def memory_bytes(self, field):
-        """VmRSS or VmHWM (the highest VmRSS so far) of the process."""
-        for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith(field + ":"):
-                return int(line.split()[1]) * 1024
-        raise AssertionError(f"{self.name} has ended")
-
-    def descriptors(self):
-        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        super().__init__(f"node-{number}", f"127.{net}.1.{number}")
+        self.service, self.server_ip = service, f"127.{net}.4.{number}"
 
 
 class Site:
-    def __init__(self, daemon, memory_mb, max_body_bytes):
+    def __init__(self, daemon, memory_mb, max_body_bytes, max_descriptors=0, limits=None):
         self.daemon, self.memory_mb, self.max_body_bytes = daemon, memory_mb, max_body_bytes
+        self.max_descriptors, self.limits, self.version = max_descriptors, limits, 1
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="guavatrail-memory-"))
         net = 16 + os.getpid() % 200
         self.nodes = [Node(1, "encomendas", net), Node(2, "catalogo", net)]
@@ -86,12 +86,26 @@
     async def start_stand_ins(self):
         store = Store()
         self.listener = await store.listen(self.store_ip, STORE)
-        await store.put("config", "main", config(self.max_body_bytes))
+        self.store = store
+        await self.put_config()
         for node in self.nodes:
             backend = SlowBackend(node.service, node.server_ip, SERVER, (node.ip, CONTROL), {}, 1)
             await backend.start()
             self.backends.append(backend)
 
+    async def put_config(self):
+        await self.store.put("config", "main",
+                             config(self.max_body_bytes, self.version, self.limits))
+
+    def change_config(self):
+        self.version += 1
+        self.run(self.put_config())
+
+    def restart_servers(self):
+        for backend in self.backends:
+            self.run(backend.crash())
+            self.run(backend.start())
+
     async def stop_stand_ins(self):
         self.listener.close()
         for backend in self.backends:
@@ -122,6 +136,7 @@
 control_port = {CONTROL}
 ready_port = {READY}
 admin_port = {ADMIN}
+max_descriptors = {self.max_descriptors}
 """
         # A version without this setting rejects it; the bounds of the test hold for it all the same.
         path.write_text(settings + f"memory_mb = {self.memory_mb}\n")
