Split HttpListener, PendingReplies and the request target from DownstreamRequest

Cause: downstream_request.{h,cc} held three classes, and limits on connections are about to grow there. Behaviour is as before.

--- a/src/config_relay.h
+++ b/src/config_relay.h
@@ -17,6 +17,7 @@
 #include "http_query.h"
 #include "metrics.h"
 #include "peer_client.h"
+#include "pending_replies.h"
 #include "random_source.h"
 #include "store_revision.h"
 #include "table_referrals.h"
--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -14,6 +14,7 @@
 #include "body_buffer.h"
 #include "downstream_request.h"
 #include "event_loop.h"
+#include "http_listener.h"
 #include "http_reader.h"
 #include "request_memory.h"
 #include "request_pipeline.h"
--- a/src/endpoint_relay.h
+++ b/src/endpoint_relay.h
@@ -13,6 +13,7 @@
 #include "http_query.h"
 #include "metrics.h"
 #include "peer_client.h"
+#include "pending_replies.h"
 
 namespace guavatrail {
 
--- a/src/quota_exchange.h
+++ b/src/quota_exchange.h
@@ -17,6 +17,7 @@
 #include "http_query.h"
 #include "metrics.h"
 #include "peer_client.h"
+#include "pending_replies.h"
 #include "quota_enforcer.h"
 #include "quota_ledger.h"
 #include "random_source.h"
--- a/src/request_fingerprint.cc
+++ b/src/request_fingerprint.cc
@@ -6,6 +6,7 @@
 
 #include "crash_blame.h"
 #include "downstream_request.h"
+#include "event_loop.h"
 
 namespace guavatrail {
 
--- a/src/suspect_relay.h
+++ b/src/suspect_relay.h
@@ -18,6 +18,7 @@
 #include "http_query.h"
 #include "metrics.h"
 #include "peer_client.h"
+#include "pending_replies.h"
 #include "random_source.h"
 #include "settings.h"
 
--- a/test/correctness/config_relay_disconnect_test.cc
+++ b/test/correctness/config_relay_disconnect_test.cc
@@ -5,6 +5,7 @@
 #include "config_relay.h"
 #include "config_relay_fixture.h"
 #include "fake_server.h"
+#include "http_listener.h"
 #include "test_loop.h"
 
 namespace guavatrail {
--- a/test/correctness/config_relay_referral_test.cc
+++ b/test/correctness/config_relay_referral_test.cc
@@ -5,6 +5,7 @@
 #include "config_codec.h"
 #include "config_relay.h"
 #include "fake_server.h"
+#include "http_listener.h"
 #include "test_loop.h"
 
 namespace guavatrail {
--- a/test/correctness/large_answers_do_not_fill_the_link_test.cc
+++ b/test/correctness/large_answers_do_not_fill_the_link_test.cc
@@ -10,7 +10,9 @@
 #include "answer_size_estimator.h"
 #include "downstream_request.h"
 #include "fake_server.h"
+#include "http_listener.h"
 #include "link_pacer.h"
+#include "pending_replies.h"
 #include "test_loop.h"
 
 namespace guavatrail {
--- a/test/error/connection_limit_test.cc
+++ b/test/error/connection_limit_test.cc
@@ -13,6 +13,8 @@
 
 #include "downstream_request.h"
 #include "fake_server.h"
+#include "http_listener.h"
+#include "pending_replies.h"
 #include "test_loop.h"
 
 namespace guavatrail {
--- a/test/error/requests_over_memory_are_refused_test.cc
+++ b/test/error/requests_over_memory_are_refused_test.cc
@@ -4,6 +4,7 @@
 
 #include "downstream_request.h"
 #include "fake_server.h"
+#include "http_listener.h"
 #include "test_loop.h"
 
 namespace guavatrail {
--- a/test/support/fake_store.h
+++ b/test/support/fake_store.h
@@ -13,6 +13,8 @@
 
 #include "downstream_request.h"
 #include "event_loop.h"
+#include "http_listener.h"
+#include "pending_replies.h"
 
 namespace guavatrail {
 
--- a/test/support/relay_proxy.h
+++ b/test/support/relay_proxy.h
@@ -7,6 +7,7 @@
 
 #include "connection_pool.h"
 #include "downstream_request.h"
+#include "http_listener.h"
 #include "stream_relay.h"
 
 namespace guavatrail {
