Bound what waits unread in the sockets of a node

Callers saw: nodes that exceed the memory of their VM and are killed while a crowd sends bodies, in large or very small chunks, at the caller or the peer port. Cause: nobody counted bytes that were received and not read. The kernel keeps 128 KB and more for each connection, also for those not yet accepted, and several MB for an answer whose reading is paused. Freed body pieces of 64 KB stayed with the allocator, since they were trimmed only when the bytes held fell. Change: PortBudget gives all connections a quarter of the VM's memory and derives the receive buffer of each port from it (inherited from the listening socket), and fewer connections only where 4 KB each do not fit. A body above 16 KB gets a wide window while few others have one. Connections to nodes and servers get 64 KB. BodyBuffer grows from 16 KB directly to pieces that return to the system. descriptor_budget became port_budget; the options of sockets are set in one place.

--- a/src/body_buffer.cc
+++ b/src/body_buffer.cc
@@ -8,15 +8,17 @@
 
 namespace {
 
-// A piece of this size or less may be in memory as a whole; of a larger one only what is used.
-constexpr size_t kSmallPieceBytes = 65'536;
+// A piece of this size or less may be in memory as a whole; of a larger one only what is used. The
+// allocator keeps freed pieces of this size, so with larger ones a crowd of incomplete bodies would
+// leave more free memory with the process.
+constexpr size_t kSmallPieceBytes = 16'384;
 constexpr size_t kPageBytes = 4'096;
 
 // The next capacity of a first piece that has to hold `bytes`. The steps are wide enough that
 // std::string does not round them up.
 size_t NextCapacity(size_t bytes, size_t old) {
   if (old == 0 && bytes <= kSmallPieceBytes) return bytes;
-  for (size_t step : {size_t{4'096}, size_t{16'384}, kSmallPieceBytes}) {
+  for (size_t step : {size_t{4'096}, kSmallPieceBytes}) {
     if (step >= bytes && step >= 2 * old) return step;
   }
   return BodyBuffer::kPieceBytes;
--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -13,6 +13,7 @@
 #include <cstring>
 
 #include "http_reader.h"
+#include "socket_options.h"
 
 namespace guavatrail {
 
@@ -30,28 +31,23 @@
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
 constexpr unsigned kUserTimeoutMs = 3'000;
-// Bytes of a request that the kernel takes beyond what is on its way. Without this limit it holds
-// several megabytes for each server that does not read.
+// Bytes of a request that the kernel takes beyond what is on its way.
 constexpr int kKernelUnsentBytes = 131'072;
 constexpr int kFirstNonSuccessStatus = 300;
 // Maximum total size of the bodies of stale answers (those to earlier requests) that are discarded
 // during one exchange. More fails the exchange, since they could delay its answer forever.
 constexpr size_t kMaxDiscardedBytes = 1'048'576;
 
-void SetOption(evutil_socket_t fd, int level, int option, int value) {
-  // Errors are ignored: the options only shorten waits, and requests work without them.
-  setsockopt(fd, level, option, &value, sizeof(value));
-}
-
 void PrepareSocket(evutil_socket_t fd) {
-  // Nagle's algorithm would delay later writes of a request until the first is acknowledged.
-  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
-  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
-  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
-  SetOption(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, kKernelUnsentBytes);
+  DisableNagle(fd);
+  SetSocketOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  LimitUnsentBytes(fd, kKernelUnsentBytes);
+  // Set before connecting, since the window depends on it.
+  SetReceiveBuffer(fd, ConnectionPool::kReceiveBufferBytes);
 }
 
 sockaddr_in AddressOf(const std::string& ip, uint16_t port) {
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -98,6 +98,9 @@
 
 class ConnectionPool {
  public:
+  // Bytes of an answer that wait in the socket while reading is paused.
+  static constexpr int kReceiveBufferBytes = 65'536;
+
   struct Options {
     std::string ip;
     uint16_t port = 0;
--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -3,25 +3,26 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <glog/logging.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <strings.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
 
+#include "socket_options.h"
+
 namespace guavatrail {
 
 namespace {
 
 // Limit on the unparsed bytes that are read ahead while earlier requests are processed.
 constexpr size_t kReadAheadBytes = 65'536;
-// What the kernel holds of the input when the read-ahead is full, and of an answer beyond what is
-// on its way to the client. Without the limit of the latter it holds several megabytes for a client
-// that does not read.
+// What the kernel holds of the input when the read-ahead is full, unless the port limits it.
 constexpr size_t kKernelReadAheadBytes = 131'072;
+// What the kernel holds of an answer beyond what is on its way to the client.
 constexpr int kKernelUnsentBytes = 131'072;
+// A larger body gets a wide receive window.
+constexpr size_t kWideWindowBodyBytes = 16'384;
 // The connection is closed if the client accepts no byte of its answer for this time.
 constexpr timeval kWriteTimeout = {.tv_sec = 60, .tv_usec = 0};
 // Time for which input is discarded before a connection is closed. Closing a socket with unread
@@ -53,11 +54,8 @@
 }
 
 void PrepareSocket(evutil_socket_t fd) {
-  // With Nagle's algorithm, an answer sent in several writes would wait for the acknowledgement of
-  // the first one.
-  int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &kKernelUnsentBytes, sizeof(kKernelUnsentBytes));
+  DisableNagle(fd);
+  LimitUnsentBytes(fd, kKernelUnsentBytes);
 }
 
 // Memory of the headers, of which each takes more than its text.
@@ -97,6 +95,7 @@
     EndPacing(answer);
   }
   EndIdle();
+  NarrowWindow();
   evbuffer_remove_cb_entry(bufferevent_get_output(m_bev), m_output_entry);
   bufferevent_free(m_bev);
   evbuffer_free(m_body);
@@ -218,6 +217,7 @@
 void DownstreamConnection::OnBody() {
   StartReadTimer();
   m_body_parts.Append(m_body);
+  if (m_body_parts.size() > kWideWindowBodyBytes) WidenWindow();
   if (m_body_parts.size() > m_listener.m_limits.max_body_bytes) {
     Refuse(kHttpContentTooLarge);
     return;
@@ -275,6 +275,7 @@
 void DownstreamConnection::Refuse(int status) {
   m_refusal = status;
   m_timer.Cancel();
+  NarrowWindow();
   m_body_parts.Clear();
   evbuffer_drain(m_body, evbuffer_get_length(m_body));
   DiscardInput();
@@ -329,7 +330,9 @@
 size_t DownstreamConnection::HeldBytes() const {
   size_t input = evbuffer_get_length(bufferevent_get_input(m_bev));
   bool is_full = !m_answers.empty() && input >= kReadAheadBytes;
-  return input + (is_full ? kKernelReadAheadBytes : 0) + m_head_bytes + m_body_parts.held_bytes() +
+  int kernel_limit = m_listener.m_port_limits.receive_buffer_bytes;
+  size_t kernel = kernel_limit > 0 ? static_cast<size_t>(kernel_limit) : kKernelReadAheadBytes;
+  return input + (is_full ? kernel : 0) + m_head_bytes + m_body_parts.held_bytes() +
          evbuffer_get_length(bufferevent_get_output(m_bev)) + HeldAnswerBytes();
 }
 
@@ -337,8 +340,25 @@
   return m_answers.empty() ? MemoryUse::kReceiving : MemoryUse::kAnswering;
 }
 
+// A body much larger than the receive buffer of the port would take a round trip for each part of
+// that size.
+void DownstreamConnection::WidenWindow() {
+  bool is_limited = m_listener.m_port_limits.receive_buffer_bytes > 0;
+  if (m_has_wide_window || !is_limited || m_listener.m_memory == nullptr) return;
+  if (!m_listener.m_memory->TakeWideWindow()) return;
+  m_has_wide_window = true;
+  SetReceiveBuffer(bufferevent_getfd(m_bev), RequestMemory::kWideWindowBytes);
+}
+
+void DownstreamConnection::NarrowWindow() {
+  if (!std::exchange(m_has_wide_window, false)) return;
+  m_listener.m_memory->ReturnWideWindow();
+  SetReceiveBuffer(bufferevent_getfd(m_bev), m_listener.m_port_limits.receive_buffer_bytes);
+}
+
 // Frees what is held of the request being read.
 void DownstreamConnection::ReleaseRequest() {
+  NarrowWindow();
   m_head = {};
   m_head_bytes = 0;
   m_body_parts.Clear();
--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -106,6 +106,8 @@
   MemoryUse CurrentUse() const;
   void OnEvicted();
   void ReleaseRequest();
+  void WidenWindow();
+  void NarrowWindow();
   void OnTimer();
   void OnWritten(size_t bytes, size_t left);
   void OnAnswerWritten();
@@ -143,9 +145,10 @@
   size_t m_request_bytes = 0;     // Bytes read of the request being read.
   int m_refusal = 0;              // Status of a refusal that waits for its turn; 0: none.
   bool m_discards_input = false;  // Read-ahead did not fit in memory; its requests never run.
-  bool m_is_broken = false;       // An answer was broken off before its turn.
-  bool m_has_first_byte = false;  // A byte of the request being read has been received.
-  bool m_is_waiting = false;      // The request being read waits for all earlier answers.
+  bool m_has_wide_window = false;
+  bool m_is_broken = false;            // An answer was broken off before its turn.
+  bool m_has_first_byte = false;       // A byte of the request being read has been received.
+  bool m_is_waiting = false;           // The request being read waits for all earlier answers.
   bool m_is_request_complete = false;  // The request that waits has been read completely.
 };
 
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -8,8 +8,8 @@
 #include <cinttypes>
 
 #include "deadline.h"
-#include "descriptor_budget.h"
 #include "entry_call.h"
+#include "port_budget.h"
 #include "request_fingerprint.h"
 
 namespace guavatrail {
@@ -78,8 +78,8 @@
       m_random(random),
       m_quota_refusals(metrics),
       m_deferred(loop) {
-  DescriptorBudget budget = MakeDescriptorBudget(settings.listen.max_descriptors);
-  m_listener.SetMaxConnections(budget.caller_connections);
+  m_listener.SetPortLimits(
+      MakePortBudget(settings.listen.max_descriptors, settings.listen.memory_mb).caller);
   m_listener.SetOverlapPredicate([this](const RequestTarget& t) { return MayOverlap(t); });
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
--- a/src/http_listener.cc
+++ b/src/http_listener.cc
@@ -12,14 +12,12 @@
 
 #include "downstream_connection.h"
 #include "request_target.h"
+#include "socket_options.h"
 
 namespace guavatrail {
 
 namespace {
 
-// Length of the accept queue. When it is full the kernel drops the SYN, and the client repeats it
-// only after a second.
-constexpr int kBacklog = 1024;
 constexpr int64_t kLogPeriodUs = 1'000'000;
 // Time until accept() is tried again after it has failed, and until connections that were in use a
 // moment ago are checked again.
@@ -73,9 +71,9 @@
   auto on_accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
     static_cast<HttpListener*>(arg)->Accept(fd);
   };
-  m_listener.reset(evconnlistener_new_bind(m_loop.base(), on_accept, this,
-                                           LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, kBacklog,
-                                           reinterpret_cast<sockaddr*>(&address), sizeof(address)));
+  m_listener.reset(evconnlistener_new_bind(
+      m_loop.base(), on_accept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
+      m_port_limits.accept_queue, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
   if (m_listener == nullptr) {
     return tl::make_unexpected("cannot listen on " + ip + ":" + std::to_string(port) + ": " +
                                std::strerror(errno));
@@ -83,14 +81,24 @@
   evconnlistener_set_error_cb(m_listener.get(), [](evconnlistener*, void* arg) {
     static_cast<HttpListener*>(arg)->OnAcceptFailed(errno);
   });
-  m_port = BoundPort(evconnlistener_get_fd(m_listener.get()));
+  evutil_socket_t fd = evconnlistener_get_fd(m_listener.get());
+  // Inherited by all connections, also by those that wait to be accepted.
+  if (m_port_limits.receive_buffer_bytes > 0) {
+    SetReceiveBuffer(fd, m_port_limits.receive_buffer_bytes);
+  }
+  m_port = BoundPort(fd);
   return {};
 }
 
 void HttpListener::StopAccepting() { m_listener.reset(); }
 
+void HttpListener::SetPortLimits(const PortLimits& limits) {
+  CHECK(m_listener == nullptr) << "HttpListener::SetPortLimits called after Listen";
+  m_port_limits = limits;
+}
+
 void HttpListener::SetMaxConnections(size_t connections) {
-  m_max_connections = connections;
+  m_port_limits.max_connections = connections;
   UpdateAccepting();
 }
 
@@ -100,7 +108,7 @@
 }
 
 bool HttpListener::ClosesAfterAnswer() const {
-  double limit = kCloseAfterAnswerShare * static_cast<double>(m_max_connections);
+  double limit = kCloseAfterAnswerShare * static_cast<double>(m_port_limits.max_connections);
   return m_closes_after_answers || static_cast<double>(m_connections.size()) > limit;
 }
 
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -18,6 +18,7 @@
 #include "event_loop.h"
 #include "http_headers.h"
 #include "link_pacer.h"
+#include "port_budget.h"
 #include "request_memory.h"
 
 struct evconnlistener;
@@ -73,6 +74,8 @@
   void SetMemory(std::shared_ptr<RequestMemory> memory) { m_memory = std::move(memory); }
   // Closes the listening socket; existing connections stay open.
   void StopAccepting();
+  // Must be called before Listen().
+  void SetPortLimits(const PortLimits& limits);
   // From now on keeps at most `connections` open. Near the limit, a connection is closed after its
   // next answer; at the limit, idle connections are closed to make room for new ones, and if none
   // is idle, new ones wait until a connection ends.
@@ -98,7 +101,7 @@
   void OnFull();
   void Remove(DownstreamConnection& connection);
   void OnConnectionIdle();
-  bool is_full() const { return m_connections.size() >= m_max_connections; }
+  bool is_full() const { return m_connections.size() >= m_port_limits.max_connections; }
   bool ClosesAfterAnswer() const;
   bool MayOverlap(const HttpHead& head) const;
   void CloseLongestIdle();
@@ -120,7 +123,7 @@
   std::list<DownstreamConnection*> m_idle;  // Longest idle first.
   std::map<DownstreamConnection*, std::unique_ptr<DownstreamConnection>> m_connections;
   uint16_t m_port = 0;
-  size_t m_max_connections = SIZE_MAX;
+  PortLimits m_port_limits;
   bool m_is_accept_paused = false;  // accept() has failed; it is tried again later.
   Timer m_accept_timer;
   uint64_t m_accept_failures = 0;
--- a/src/request_memory.cc
+++ b/src/request_memory.cc
@@ -20,6 +20,10 @@
 constexpr int64_t kReturnPeriodUs = 1'000'000;
 constexpr int64_t kNeededReturnPeriodUs = 100'000;
 
+// Part of the budget that may wait, unread, in wide receive windows. It is not taken from the
+// budget, but from the part of the VM's memory that the budget leaves.
+constexpr int64_t kWideWindowDivisor = 16;
+
 // Memory that a running request takes beside its head and body: the state of the call, timers and
 // connection buffers.
 constexpr size_t kRequestBytes = 8'192;
@@ -37,7 +41,8 @@
 RequestMemory::RequestMemory(int64_t memory_mb, Metrics& metrics)
     : m_budget(MemoryBudget::CapacityOf(memory_mb)),
       m_metrics(&metrics),
-      m_held(&metrics.GetGauge("request_bytes_held")) {
+      m_held(&metrics.GetGauge("request_bytes_held")),
+      m_wide(&metrics.GetGauge("wide_windows")) {
   ReportHeld();
 }
 
@@ -47,6 +52,27 @@
   return false;
 }
 
+int64_t RequestMemory::MaxWideWindows() const {
+  if (m_budget.capacity_bytes() == 0) return INT64_MAX;
+  return m_budget.capacity_bytes() / kWideWindowDivisor / kWideWindowBytes;
+}
+
+bool RequestMemory::TakeWideWindow() {
+  if (m_wide_windows >= MaxWideWindows()) return false;
+  ++m_wide_windows;
+  ReportWideWindows();
+  return true;
+}
+
+void RequestMemory::ReturnWideWindow() {
+  --m_wide_windows;
+  ReportWideWindows();
+}
+
+void RequestMemory::ReportWideWindows() {
+  if (m_metrics != nullptr) m_wide->Set(static_cast<double>(m_wide_windows));
+}
+
 void RequestMemory::ReturnFreeMemory(bool is_needed) {
   int64_t held = m_budget.held_bytes();
   m_peak = std::max(m_peak, held);
--- a/src/request_memory.h
+++ b/src/request_memory.h
@@ -27,9 +27,17 @@
   // Whether a request of this size fits when the process holds no other. Counts a refusal if not.
   bool CanHold(uint64_t bytes);
   int64_t held_bytes() const { return m_budget.held_bytes(); }
+  // Takes one of the wide receive windows, of which there are few enough that the bytes that wait
+  // in them, unread, stay small beside the budget. Returns false if there is none left.
+  bool TakeWideWindow();
+  void ReturnWideWindow();
+
+  static constexpr int kWideWindowBytes = 65'536;
 
  private:
   friend class MemoryShare;
+  int64_t MaxWideWindows() const;
+  void ReportWideWindows();
   void ReportHeld();
   void ReturnFreeMemory(bool is_needed);
   void ReportRefused(std::string_view reason, int64_t bytes);
@@ -37,11 +45,13 @@
   MemoryBudget m_budget;
   Metrics* m_metrics;  // Null once detached.
   Gauge* m_held;
+  Gauge* m_wide;
   std::unordered_map<uint64_t, std::function<void()>> m_evict;
   int64_t m_peak = 0;         // Most bytes held since free memory was last returned to the system.
   int64_t m_returned_us = 0;  // When it was.
   int64_t m_log_us = 0;       // Time of the last log line about refusals.
   uint64_t m_refused = 0;
+  int64_t m_wide_windows = 0;
 };
 
 // The bytes of one holder. Destroying the share releases them. Without a RequestMemory nothing is
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 
 #include "deadline.h"
-#include "descriptor_budget.h"
+#include "port_budget.h"
 #include "request_fingerprint.h"
 #include "serving_call.h"
 
@@ -89,8 +89,8 @@
       m_queue_timer(loop, [this] { ExpireQueued(); }),
       m_gate_timer(loop, [this] { RefuseQueue(); }),
       m_deferred(loop) {
-  DescriptorBudget budget = MakeDescriptorBudget(settings.listen.max_descriptors);
-  m_listener.SetMaxConnections(budget.peer_connections);
+  m_listener.SetPortLimits(
+      MakePortBudget(settings.listen.max_descriptors, settings.listen.memory_mb).peer);
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
 
