--- a/src/admin_server.cc
+++ b/src/admin_server.cc
@@ -1,34 +1,17 @@
 #include "admin_server.h"
 
-#include <event2/buffer.h>
-#include <event2/http.h>
-#include <glog/logging.h>
-
-#include <string_view>
+#include "http_headers.h"
 
 namespace guavatrail {
 
 namespace {
 
-constexpr int kOk = 200;
 constexpr int kAccepted = 202;
-constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
-constexpr int kMaxBodyBytes = 4096;
-constexpr int kMaxHeadBytes = 16'384;
-// A client that neither sends nor reads for this time is disconnected.
-constexpr int kTimeoutS = 60;
-
-void Reply(evhttp_request* req, int status, const char* content_type, std::string_view body) {
-  evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type", content_type);
-  evbuffer* out = evhttp_request_get_output_buffer(req);
-  evbuffer_add(out, body.data(), body.size());
-  evhttp_send_reply(req, status, nullptr, nullptr);
-}
-
-void ReplyJson(evhttp_request* req, int status, const nlohmann::json& body) {
-  Reply(req, status, "application/json", body.dump() + "\n");
-}
+constexpr HttpLimits kLimits = {.max_head_bytes = 16'384,
+                                .max_body_bytes = 4'096,
+                                .read_timeout = std::chrono::milliseconds(60'000),
+                                .idle_timeout = std::chrono::milliseconds(60'000)};
 
 }  // namespace
 
@@ -42,76 +25,61 @@
   return callbacks;
 }
 
-struct AdminServer::Impl {
-  AdminCallbacks callbacks;
-  struct HttpDeleter {
-    void operator()(evhttp* http) const { evhttp_free(http); }
-  };
-  std::unique_ptr<evhttp, HttpDeleter> http;
+AdminServer::AdminServer(EventLoop& loop, AdminCallbacks callbacks)
+    : m_callbacks(std::move(callbacks)),
+      m_listener(loop, [this](auto request) { Handle(std::move(request)); }),
+      m_replies(loop) {
+  m_listener.SetLimits(kLimits);
+}
 
-  void Handle(evhttp_request* req);
-  void HandleQuery(evhttp_request* req, std::string_view path);
-  void HandleCommand(evhttp_request* req, std::string_view path);
-};
+tl::expected<void, AdminError> AdminServer::Listen(const std::string& ip, uint16_t port) {
+  auto listening = m_listener.Listen(ip, port);
+  if (!listening) return tl::make_unexpected(AdminError{"admin port: " + listening.error()});
+  return {};
+}
 
-void AdminServer::Impl::Handle(evhttp_request* req) {
-  const char* path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
-  std::string_view view = path == nullptr ? "" : path;
-  switch (evhttp_request_get_command(req)) {
+void AdminServer::Handle(std::unique_ptr<DownstreamRequest> request) {
+  switch (request->method()) {
     case EVHTTP_REQ_GET:
-      HandleQuery(req, view);
+      HandleQuery(std::move(request));
       return;
     case EVHTTP_REQ_POST:
-      HandleCommand(req, view);
+      HandleCommand(std::move(request));
       return;
     default:
-      ReplyJson(req, kMethodNotAllowed, {{"error", "use GET or POST"}});
+      ReplyJson(std::move(request), kMethodNotAllowed, {{"error", "use GET or POST"}});
   }
 }
 
-void AdminServer::Impl::HandleQuery(evhttp_request* req, std::string_view path) {
+void AdminServer::HandleQuery(std::unique_ptr<DownstreamRequest> request) {
+  std::string_view path = request->path();
   if (path == "/metrics") {
-    Reply(req, kOk, "text/plain; version=0.0.4", callbacks.metrics_text());
+    const HeaderList headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+    m_replies.Reply(std::move(request), kHttpOk, headers, m_callbacks.metrics_text());
   } else if (path == "/v1/status") {
-    ReplyJson(req, kOk, callbacks.status());
+    ReplyJson(std::move(request), kHttpOk, m_callbacks.status());
   } else if (path == "/v1/members") {
-    ReplyJson(req, kOk, callbacks.members());
+    ReplyJson(std::move(request), kHttpOk, m_callbacks.members());
   } else if (path == "/v1/burn") {
-    ReplyJson(req, kOk, callbacks.burn());
+    ReplyJson(std::move(request), kHttpOk, m_callbacks.burn());
   } else {
-    ReplyJson(req, kNotFound, {{"error", "no such page"}});
+    ReplyJson(std::move(request), kHttpNotFound, {{"error", "no such page"}});
   }
 }
 
-void AdminServer::Impl::HandleCommand(evhttp_request* req, std::string_view path) {
-  if (path != "/v1/drain") {
-    ReplyJson(req, kNotFound, {{"error", "no such command"}});
+void AdminServer::HandleCommand(std::unique_ptr<DownstreamRequest> request) {
+  if (request->path() != "/v1/drain") {
+    ReplyJson(std::move(request), kHttpNotFound, {{"error", "no such command"}});
     return;
   }
-  callbacks.start_drain();
-  ReplyJson(req, kAccepted, callbacks.status());
-}
-
-AdminServer::AdminServer(EventLoop& loop, AdminCallbacks callbacks)
-    : m_impl(std::make_unique<Impl>()) {
-  m_impl->callbacks = std::move(callbacks);
-  m_impl->http.reset(evhttp_new(loop.base()));
-  CHECK(m_impl->http != nullptr) << "evhttp_new failed";
-  evhttp_set_max_body_size(m_impl->http.get(), kMaxBodyBytes);
-  evhttp_set_max_headers_size(m_impl->http.get(), kMaxHeadBytes);
-  evhttp_set_timeout(m_impl->http.get(), kTimeoutS);
-  auto handler = [](evhttp_request* req, void* arg) { static_cast<Impl*>(arg)->Handle(req); };
-  evhttp_set_gencb(m_impl->http.get(), handler, m_impl.get());
+  m_callbacks.start_drain();
+  ReplyJson(std::move(request), kAccepted, m_callbacks.status());
 }
 
-AdminServer::~AdminServer() = default;
-
-tl::expected<void, AdminError> AdminServer::Listen(const std::string& ip, uint16_t port) {
-  if (evhttp_bind_socket(m_impl->http.get(), ip.c_str(), port) != 0) {
-    return tl::make_unexpected(
-        AdminError{"cannot listen on admin address " + ip + ":" + std::to_string(port)});
-  }
-  return {};
+void AdminServer::ReplyJson(std::unique_ptr<DownstreamRequest> request, int status,
+                            const nlohmann::json& body) {
+  const HeaderList headers = {{"Content-Type", "application/json"}};
+  m_replies.Reply(std::move(request), status, headers, body.dump() + "\n");
 }
 
 }  // namespace guavatrail
--- a/src/admin_server.h
+++ b/src/admin_server.h
@@ -7,10 +7,16 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <tl/expected.hpp>
+#include <utility>
 
 #include "burn.h"
+#include "downstream_request.h"
 #include "event_loop.h"
+#include "http_listener.h"
 #include "metrics.h"
+#include "pending_replies.h"
+#include "port_budget.h"
+#include "request_memory.h"
 
 namespace guavatrail {
 
@@ -34,13 +40,24 @@
 class AdminServer {
  public:
   AdminServer(EventLoop& loop, AdminCallbacks callbacks);
-  ~AdminServer();
+
+  // Must be called before Listen().
+  void SetPortLimits(const PortLimits& limits) { m_listener.SetPortLimits(limits); }
+  // See HttpListener.
+  void SetMemory(std::shared_ptr<RequestMemory> memory) { m_listener.SetMemory(std::move(memory)); }
 
   tl::expected<void, AdminError> Listen(const std::string& ip, uint16_t port);
 
  private:
-  struct Impl;
-  std::unique_ptr<Impl> m_impl;
+  void Handle(std::unique_ptr<DownstreamRequest> request);
+  void HandleQuery(std::unique_ptr<DownstreamRequest> request);
+  void HandleCommand(std::unique_ptr<DownstreamRequest> request);
+  void ReplyJson(std::unique_ptr<DownstreamRequest> request, int status,
+                 const nlohmann::json& body);
+
+  AdminCallbacks m_callbacks;
+  HttpListener m_listener;
+  PendingReplies m_replies;
 };
 
 }  // namespace guavatrail
--- a/src/node.cc
+++ b/src/node.cc
@@ -11,6 +11,7 @@
 #include "loop_monitor.h"
 #include "metrics.h"
 #include "platform_client.h"
+#include "port_budget.h"
 #include "random_source.h"
 #include "serving_proxy.h"
 
@@ -76,6 +77,9 @@
         leave_timer(loop, [this] { Leave(); }) {
     serving.SetMemory(memory);
     entry.SetMemory(memory);
+    admin.SetPortLimits(
+        MakePortBudget(settings.listen.max_descriptors, settings.listen.memory_mb).service);
+    admin.SetMemory(memory);
     serving.SetLocalBodies(local_bodies);
     entry.SetLocalBodies(local_bodies);
   }
