Count answers at the size of their buffers, and bound what waits in connections to nodes and servers

Callers saw: nodes that exceed the memory of their VM while clients take nothing of their answers, or single bytes at a time. Cause: a part of an answer that is moved keeps the buffer it was read into, half of which is empty, so answers took twice what the budget counted. What the kernel held of answers whose reading was paused had no bound. Each byte that a client took counted as progress, so an answer taken in single bytes was never given up. Change: parts of answers are copied into full buffers. The receive buffers of connections to nodes and the server follow from a tenth of the VM's memory. Progress of an answer is 16 KiB that its client has accepted (TransferProgress); MemoryBudget is told of it and no longer derives it from the bytes held. Accepted connections get a fifth of the memory instead of a quarter.

--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -46,8 +46,6 @@
   SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
   SetSocketOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
   LimitUnsentBytes(fd, kKernelUnsentBytes);
-  // Set before connecting, since the window depends on it.
-  SetReceiveBuffer(fd, ConnectionPool::kReceiveBufferBytes);
 }
 
 sockaddr_in AddressOf(const std::string& ip, uint16_t port) {
@@ -61,6 +59,8 @@
 // Binds and connects a non-blocking socket. Returns false and sets errno if it fails immediately.
 bool StartConnect(evutil_socket_t fd, const ConnectionPool::Options& options) {
   PrepareSocket(fd);
+  // Set before connecting, since the window depends on it.
+  if (options.receive_buffer_bytes > 0) SetReceiveBuffer(fd, options.receive_buffer_bytes);
   if (!options.local_ip.empty()) {
     sockaddr_in local = AddressOf(options.local_ip, 0);
     if (bind(fd, reinterpret_cast<sockaddr*>(&local), sizeof(local)) != 0) return false;
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -98,14 +98,13 @@
 
 class ConnectionPool {
  public:
-  // Bytes of an answer that wait in the socket while reading is paused.
-  static constexpr int kReceiveBufferBytes = 65'536;
-
   struct Options {
     std::string ip;
     uint16_t port = 0;
     std::string local_ip;  // Source address of the connections; empty: chosen by the system.
     size_t max_connections = 130;
+    // Bounds the bytes of an answer that wait in the socket, unread; 0: chosen by the system.
+    int receive_buffer_bytes = 0;
     std::chrono::milliseconds connect_timeout{1000};
     // Whether an orderly close completes an answer that has neither a Content-Length nor chunked
     // encoding. If false, such an answer counts as broken, since it may have been truncated.
--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -159,11 +159,14 @@
       m_has_first_byte = true;
       m_request_bytes = 0;
       EndIdle();
+      if (m_answers.empty()) m_progress.Restart(EventLoop::NowUs());
       m_reader.SetMaxHeadBytes(m_listener.m_limits.max_head_bytes);
       StartReadTimer();
     }
     HttpReader::Event event = m_reader.Next(input, m_body);
-    m_request_bytes += length - evbuffer_get_length(input);
+    size_t read = length - evbuffer_get_length(input);
+    m_request_bytes += read;
+    if (m_answers.empty()) m_progress.Add(read, EventLoop::NowUs());
     switch (event) {
       case HttpReader::Event::kNeedMore:
         CountIncoming();
--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -18,6 +18,7 @@
 #include "http_reader.h"
 #include "request_memory.h"
 #include "request_pipeline.h"
+#include "transfer_progress.h"
 
 struct bufferevent;
 struct evbuffer_cb_entry;
@@ -139,6 +140,8 @@
   // or answered.
   std::optional<std::list<DownstreamConnection*>::iterator> m_idle_entry;
   int64_t m_idle_since_us = 0;
+  // Of the request being read, or of the answer whose turn it is.
+  TransferProgress m_progress;
   State m_state = State::kOpen;
   RequestPipeline m_pipeline;
   std::deque<Answer> m_answers;   // Of the requests in m_pipeline; it is the turn of the first.
--- a/src/downstream_connection_answers.cc
+++ b/src/downstream_connection_answers.cc
@@ -82,6 +82,7 @@
 
 void DownstreamConnection::OnWritten(size_t bytes, size_t left) {
   if (m_state != State::kOpen || m_answers.empty()) return;
+  if (m_progress.Add(bytes, EventLoop::NowUs())) m_memory.RecordAnswerProgress();
   CountAnswer();
   Answer& answer = m_answers.front();
   if (answer.paced_bytes > 1) {
@@ -151,6 +152,7 @@
 // Sends what has been held of the answer whose turn has come.
 void DownstreamConnection::StartNextAnswer() {
   Answer& answer = m_answers.front();
+  m_progress.Restart(EventLoop::NowUs());
   if (answer.request == nullptr) {
     // Not an immediate close, which could discard the earlier answers before the client reads them.
     Linger();
--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -3,8 +3,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
-#include <array>
-
 #include "downstream_connection.h"
 #include "event_loop.h"
 #include "http_reader.h"
@@ -14,9 +12,16 @@
 
 namespace {
 
-// Smaller parts of an answer are copied, since each part that is moved keeps its own buffer of up
-// to this size.
-constexpr size_t kMaxCopiedBytes = 1'024;
+// Moves all bytes of `data` by copying them into the buffers of `output`. Buffers that are moved as
+// they are may be half empty, and would take twice the memory that is counted for the answer.
+void CopyAll(evbuffer* data, evbuffer* output) {
+  while (evbuffer_get_length(data) > 0) {
+    evbuffer_iovec part{};
+    if (evbuffer_peek(data, -1, nullptr, &part, 1) <= 0) return;
+    evbuffer_add(output, part.iov_base, part.iov_len);
+    evbuffer_drain(data, part.iov_len);
+  }
+}
 
 void AddLine(evbuffer* output, std::string_view name, std::string_view value) {
   evbuffer_add(output, name.data(), name.size());
@@ -113,13 +118,7 @@
   size_t length = evbuffer_get_length(data);
   if (length == 0) return;
   if (m_is_chunked) evbuffer_add_printf(output, "%zx\r\n", length);
-  if (length <= kMaxCopiedBytes) {
-    std::array<char, kMaxCopiedBytes> copy;
-    evbuffer_remove(data, copy.data(), length);
-    evbuffer_add(output, copy.data(), length);
-  } else {
-    evbuffer_add_buffer(output, data);
-  }
+  CopyAll(data, output);
   if (m_is_chunked) evbuffer_add(output, "\r\n", 2);
   m_connection->CountAnswer();
 }
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -70,7 +70,7 @@
       m_metrics(metrics),
       m_observer(std::move(observer)),
       m_picker(settings, random),
-      m_peers(loop, settings.listen.ip),
+      m_peers(loop, settings.listen.ip, BudgetOf(settings).upstream_receive_bytes),
       m_id_prefix(HexPrefix(settings.node.name, random.Next())),
       m_listener(loop, [this](std::unique_ptr<DownstreamRequest> r) { OnRequest(std::move(r)); }),
       m_replies(loop),
@@ -78,8 +78,7 @@
       m_random(random),
       m_quota_refusals(metrics),
       m_deferred(loop) {
-  m_listener.SetPortLimits(
-      MakePortBudget(settings.listen.max_descriptors, settings.listen.memory_mb).caller);
+  m_listener.SetPortLimits(BudgetOf(settings).caller);
   m_listener.SetOverlapPredicate([this](const RequestTarget& t) { return MayOverlap(t); });
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
--- a/src/memory_budget.cc
+++ b/src/memory_budget.cc
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 
+#include "transfer_progress.h"
+
 namespace guavatrail {
 
 namespace {
 
+constexpr auto kProgressBytes = static_cast<int64_t>(TransferProgress::kProgressBytes);
 constexpr int64_t kBytesPerMb = 1'000'000;
 // The process itself takes about 25 MB, of at least 160, and the kernel's buffers and the memory
 // that the allocator keeps free take their part too.
@@ -70,14 +73,24 @@
 
 void MemoryBudget::Progress(Holder& holder, MemoryUse use, int64_t bytes, int64_t now_us) {
   bool is_new = holder.bytes == 0 || holder.use != use;
-  bool has_progressed = use == MemoryUse::kAnswering
-                            ? bytes < holder.bytes
-                            : bytes >= holder.progress_bytes + kProgressBytes;
+  // The bytes held for an answer do not tell whether its client takes it: they also grow and shrink
+  // with what upstream sends.
+  bool has_progressed =
+      use != MemoryUse::kAnswering && bytes >= holder.progress_bytes + kProgressBytes;
   if (!is_new && !has_progressed) return;
   holder.progress_us = now_us;
   holder.progress_bytes = bytes;
 }
 
+void MemoryBudget::RecordAnswerProgress(uint64_t id, int64_t now_us) {
+  auto it = m_holders.find(id);
+  if (it == m_holders.end() || it->second.use != MemoryUse::kAnswering) return;
+  Holder& holder = it->second;
+  Count(id, holder, -1);
+  holder.progress_us = now_us;
+  Count(id, holder, 1);
+}
+
 void MemoryBudget::Charge(uint64_t id, MemoryUse use, int64_t bytes, int64_t now_us) {
   auto it = m_holders.find(id);
   if (it == m_holders.end()) return;
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -32,11 +32,8 @@
   // For a large holder, only those are evicted that have made no progress for this time, so that
   // uploads in progress do not evict each other.
   static constexpr int64_t kStallUs = 1'000'000;
-  // A client that has accepted no byte of its answer for this time may be evicted.
+  // A client whose answer has made no progress for this time may be evicted.
   static constexpr int64_t kAnswerStallUs = 5'000'000;
-  // Received bytes that count as progress. Fewer would let a client that sends single bytes hold a
-  // large body for as long as it likes.
-  static constexpr int64_t kProgressBytes = 16'384;
 
   // The budget of a VM with `memory_mb` million bytes of memory; 0: unlimited.
   static int64_t CapacityOf(int64_t memory_mb);
@@ -49,6 +46,8 @@
   // evict: the ones that have been without progress for longest, and longer than the holder. If
   // that does not suffice, evicts none and refuses: the holder must release what it holds.
   MemoryGrant Grow(uint64_t id, MemoryUse use, int64_t bytes, int64_t now_us);
+  // The client of the holder has accepted a part of its answer that counts as progress.
+  void RecordAnswerProgress(uint64_t id, int64_t now_us);
   // The holder holds `bytes` in all, whether or not they fit in the budget.
   void Charge(uint64_t id, MemoryUse use, int64_t bytes, int64_t now_us);
 
@@ -64,7 +63,7 @@
     MemoryUse use = MemoryUse::kReceiving;
     int64_t bytes = 0;
     int64_t progress_us = 0;     // When it last made progress; meaningful only with bytes.
-    int64_t progress_bytes = 0;  // Its bytes at that time.
+    int64_t progress_bytes = 0;  // Its bytes at that time, of an incomplete request.
   };
   // Bytes that exceed the budget and the share of large holders.
   struct Excess {
--- a/src/node.cc
+++ b/src/node.cc
@@ -77,8 +77,7 @@
         leave_timer(loop, [this] { Leave(); }) {
     serving.SetMemory(memory);
     entry.SetMemory(memory);
-    admin.SetPortLimits(
-        MakePortBudget(settings.listen.max_descriptors, settings.listen.memory_mb).service);
+    admin.SetPortLimits(BudgetOf(settings).service);
     admin.SetMemory(memory);
     serving.SetLocalBodies(local_bodies);
     entry.SetLocalBodies(local_bodies);
--- a/src/peer_client.cc
+++ b/src/peer_client.cc
@@ -11,9 +11,10 @@
 
 }  // namespace
 
-PeerClient::PeerClient(EventLoop& loop, std::string local_ip)
+PeerClient::PeerClient(EventLoop& loop, std::string local_ip, int receive_buffer_bytes)
     : m_loop(loop),
       m_local_ip(std::move(local_ip)),
+      m_receive_buffer_bytes(receive_buffer_bytes),
       m_cleanup_timer(loop, [this] { DropUnused(); }) {
   m_cleanup_timer.Start(kCleanupPeriod);
 }
@@ -26,6 +27,7 @@
                                         .port = endpoint.peer_port,
                                         .local_ip = m_local_ip,
                                         .max_connections = kMaxConnections,
+                                        .receive_buffer_bytes = m_receive_buffer_bytes,
                                         .connect_timeout = kConnectTimeout});
   }
   return *pool;
--- a/src/peer_client.h
+++ b/src/peer_client.h
@@ -15,7 +15,8 @@
 class PeerClient {
  public:
   // `local_ip` is the source address of connections; empty: chosen by the system.
-  PeerClient(EventLoop& loop, std::string local_ip);
+  // `receive_buffer_bytes`: see ConnectionPool::Options.
+  PeerClient(EventLoop& loop, std::string local_ip, int receive_buffer_bytes = 0);
 
   // The pool of a node's peer port. The reference stays valid while a request on it is in flight.
   ConnectionPool& PoolOf(const Endpoint& endpoint);
@@ -25,6 +26,7 @@
 
   EventLoop& m_loop;
   std::string m_local_ip;
+  int m_receive_buffer_bytes;
   std::map<std::pair<std::string, uint16_t>, std::unique_ptr<ConnectionPool>> m_pools;
   Timer m_cleanup_timer;
 };
--- a/src/port_budget.cc
+++ b/src/port_budget.cc
@@ -19,14 +19,18 @@
 constexpr int64_t kDefaultDescriptors = 65'536;
 
 constexpr double kBytesPerMb = 1'000'000;
-// Part of the VM's memory for connections, apart from what RequestMemory counts.
-constexpr double kConnectionMemoryShare = 0.25;
+// Parts of the VM's memory for accepted connections and for what waits in those to nodes and
+// servers, apart from what RequestMemory counts.
+constexpr double kConnectionMemoryShare = 0.2;
+constexpr double kUpstreamMemoryShare = 0.1;
 // Resident memory of an accepted connection, and the smallest receive buffer that keeps TCP
 // efficient.
 constexpr double kConnectionBytes = 4'096;
 constexpr double kMinReceiveBytes = 4'096;
 // A request that arrives in one round trip does not need more.
 constexpr double kMaxReceiveBytes = 65'536;
+// Answers are often larger than requests.
+constexpr double kMinUpstreamReceiveBytes = 8'192;
 
 int64_t ProcessLimit() {
   rlimit limit{};
@@ -68,6 +72,15 @@
   }
 }
 
+// Each request in progress has at most one connection to a node or server.
+int UpstreamReceiveBytes(const PortBudget& budget, int64_t descriptors, double memory_bytes) {
+  size_t accepted = budget.caller.max_connections + budget.peer.max_connections;
+  double connections = std::min(static_cast<double>(accepted),
+                                static_cast<double>(descriptors) * (1 - kCallerShare - kPeerShare));
+  double bytes = memory_bytes * kUpstreamMemoryShare / connections;
+  return static_cast<int>(std::clamp(bytes, kMinUpstreamReceiveBytes, kMaxReceiveBytes));
+}
+
 }  // namespace
 
 PortBudget MakePortBudget(int64_t max_descriptors, int64_t memory_mb) {
@@ -76,8 +89,15 @@
   PortBudget budget{.caller = LimitsOf(descriptors, kCallerShare),
                     .peer = LimitsOf(descriptors, kPeerShare),
                     .service = LimitsOf(descriptors, kServiceShare)};
-  if (memory_mb > 0) FitInMemory(budget, static_cast<double>(memory_mb) * kBytesPerMb);
+  if (memory_mb == 0) return budget;
+  double memory_bytes = static_cast<double>(memory_mb) * kBytesPerMb;
+  FitInMemory(budget, memory_bytes);
+  budget.upstream_receive_bytes = UpstreamReceiveBytes(budget, descriptors, memory_bytes);
   return budget;
 }
 
+PortBudget BudgetOf(const Settings& settings) {
+  return MakePortBudget(settings.listen.max_descriptors, settings.listen.memory_mb);
+}
+
 }  // namespace guavatrail
--- a/src/port_budget.h
+++ b/src/port_budget.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "settings.h"
+
 namespace guavatrail {
 
 // Limits on the connections of one port.
@@ -17,14 +19,19 @@
   int receive_buffer_bytes = 0;
 };
 
+// Limits on the connections that the ports accept, and on those that the node opens.
 struct PortBudget {
   PortLimits caller;   // The caller port.
   PortLimits peer;     // The peer port.
   PortLimits service;  // Each of the ports for readiness probes, reports and operators.
+  // Size of the receive buffer of each connection to a node or the backend server; 0: chosen by the
+  // system.
+  int upstream_receive_bytes = 0;
 };
 
 // The budget for `max_descriptors` descriptors; with 0, for as many as the process may open.
 // `memory_mb` is the memory of the VM in MB (10^6 bytes); with 0, memory does not limit the ports.
 PortBudget MakePortBudget(int64_t max_descriptors, int64_t memory_mb);
+PortBudget BudgetOf(const Settings& settings);
 
 }  // namespace guavatrail
--- a/src/request_memory.cc
+++ b/src/request_memory.cc
@@ -128,6 +128,10 @@
   m_memory->ReportHeld();
 }
 
+void MemoryShare::RecordAnswerProgress() {
+  if (m_memory != nullptr) m_memory->m_budget.RecordAnswerProgress(m_id, EventLoop::NowUs());
+}
+
 bool MemoryShare::Grow(MemoryUse use, size_t bytes) {
   if (m_memory == nullptr || (m_bytes == 0 && bytes == 0)) return true;
   RequestMemory& memory = *m_memory;
--- a/src/request_memory.h
+++ b/src/request_memory.h
@@ -68,6 +68,7 @@
   // See MemoryBudget. Returns false if the holder must release its bytes.
   bool Grow(MemoryUse use, size_t bytes);
   void Charge(MemoryUse use, size_t bytes);
+  void RecordAnswerProgress();
 
  private:
   std::shared_ptr<RequestMemory> m_memory;  // May be null.
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -81,6 +81,7 @@
       m_pool(loop, {.ip = settings.server.ip,
                     .port = static_cast<uint16_t>(settings.server.port),
                     .max_connections = static_cast<size_t>(settings.server.connections),
+                    .receive_buffer_bytes = BudgetOf(settings).upstream_receive_bytes,
                     .allows_close_delimited_answers = m_protocol.allows_close_delimited_answers}),
       m_listener(loop, [this](std::unique_ptr<DownstreamRequest> r) { OnRequest(std::move(r)); }),
       m_ip(settings.listen.ip),
@@ -89,8 +90,7 @@
       m_queue_timer(loop, [this] { ExpireQueued(); }),
       m_gate_timer(loop, [this] { RefuseQueue(); }),
       m_deferred(loop) {
-  m_listener.SetPortLimits(
-      MakePortBudget(settings.listen.max_descriptors, settings.listen.memory_mb).peer);
+  m_listener.SetPortLimits(BudgetOf(settings).peer);
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
 
--- a/test/correctness/port_budget_fits_in_memory_test.cc
+++ b/test/correctness/port_budget_fits_in_memory_test.cc
@@ -24,10 +24,10 @@
   return BytesOf(budget.caller) + BytesOf(budget.peer) + kServicePorts * BytesOf(budget.service);
 }
 
-TEST(PortBudgetFitsInMemory, AtMostAQuarterOfIt) {
+TEST(PortBudgetFitsInMemory, AtMostAFifthOfIt) {
   for (int64_t memory_mb : {30, 60, 160, 260, 512, 4'000}) {
     for (int64_t descriptors : {320, 4'100, 8'192, 0}) {
-      EXPECT_LE(BytesOf(MakePortBudget(descriptors, memory_mb)), memory_mb * kBytesPerMb / 4)
+      EXPECT_LE(BytesOf(MakePortBudget(descriptors, memory_mb)), memory_mb * kBytesPerMb / 5)
           << memory_mb << " MB, " << descriptors << " descriptors";
     }
   }
