Make room in a full port by closing connections whose clients delay them

Callers saw: no answer from a node for as long as a crowd stays whose clients stop short of the end of their requests, or do not read their answers. Cause: a full port closed idle connections only. A request that is not completed kept its connection until the read timeout, or for as long as its client sent single bytes; an answer that is not read for 60 s. Change: while a port is full and none of its connections is idle, an eighth of them, those longest without progress (16 KiB; 1 s for requests, 5 s for answers), are refused as not run, or cut off if they are answers, every 200 ms. Counter stalled_connections_closed_total.

--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -28,9 +28,9 @@
 // Time for which input is discarded before a connection is closed. Closing a socket with unread
 // input resets the connection, which could discard the answer before the client reads it.
 constexpr std::chrono::milliseconds kLingerTime{1'000};
-// Retry-After of a request that is refused for lack of memory. Bodies are held for as long as
-// requests run, mostly less than a second.
-constexpr int kMemoryRetryAfterS = 1;
+// Retry-After of a request that is refused for lack of memory or of connections. Both are held for
+// as long as requests run, mostly less than a second.
+constexpr int kRetryAfterS = 1;
 // The head of a request is held twice while it runs, once as received and once as forwarded.
 constexpr size_t kCopiesOfHead = 2;
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -196,7 +196,7 @@
   }
   if (m_listener.m_memory != nullptr &&
       !m_listener.m_memory->CanHold(m_head.content_length.value_or(0))) {
-    Refuse(kHttpServiceUnavailable);
+    Refuse(kHttpServiceUnavailable, kReasonMemory);
     return;
   }
   m_head_bytes = HeadBytes(m_head);
@@ -275,14 +275,15 @@
 
 // Rejects input that is not an acceptable request, after the answers of the earlier requests. No
 // part of it has been dispatched, so the outcome is reported as not run.
-void DownstreamConnection::Refuse(int status) {
+void DownstreamConnection::Refuse(int status, std::string_view reason) {
   m_refusal = status;
+  m_refusal_reason = reason;
   m_timer.Cancel();
   NarrowWindow();
   m_body_parts.Clear();
   evbuffer_drain(m_body, evbuffer_get_length(m_body));
   DiscardInput();
-  // Refusals for lack of memory have a log line of their own.
+  // Refusals for lack of memory or connections have log lines of their own.
   LOG_IF_EVERY_N(WARNING, status != kHttpServiceUnavailable, 100)
       << "event=request_unreadable status=" << status << " error=" << ToString(m_reader.error())
       << " ahead=" << m_answers.size();
@@ -295,8 +296,8 @@
                       m_refusal, std::string(ReasonPhrase(m_refusal)).c_str(), kOutcomeHeader,
                       kOutcomeNotRun);
   if (m_refusal == kHttpServiceUnavailable) {
-    evbuffer_add_printf(out, "Retry-After: %d\r\n%s: %s\r\n", kMemoryRetryAfterS, kReasonHeader,
-                        kReasonMemory);
+    evbuffer_add_printf(out, "Retry-After: %d\r\n%s: %s\r\n", kRetryAfterS, kReasonHeader,
+                        std::string(m_refusal_reason).c_str());
   }
   // Without the id an entry node could not tell that its request has not run.
   if (const std::string* id = FindHeader(m_head.headers, kRequestIdHeader); id != nullptr) {
@@ -312,7 +313,7 @@
 bool DownstreamConnection::CountIncoming() {
   if (m_memory.Grow(CurrentUse(), HeldBytes())) return true;
   if (m_answers.empty()) {
-    Refuse(kHttpServiceUnavailable);
+    Refuse(kHttpServiceUnavailable, kReasonMemory);
   } else {
     DiscardReadAhead();
   }
--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "body_buffer.h"
 #include "downstream_request.h"
@@ -39,6 +40,12 @@
   // Closes an idle connection, unless a request has arrived on it that is still unread. Returns
   // whether it was closed.
   bool CloseIfUnused();
+  // Monotonic time since which the client has delayed the request being read or the answer being
+  // sent; nullopt if it does not, or not for long.
+  std::optional<int64_t> StalledSinceUs(int64_t now_us) const;
+  // Refuses the request being read, or cuts off the answer being sent, since its client delays it
+  // and the port is full.
+  void GiveUp();
   // Monotonic time since which the connection has been idle.
   int64_t idle_since_us() const { return m_idle_since_us; }
 
@@ -98,7 +105,7 @@
   void Wait();
   void EndWait();
   void Dispatch(const PipelinedRequest& properties);
-  void Refuse(int status);
+  void Refuse(int status, std::string_view reason = {});
   void SendRefusal();
   bool CountIncoming();
   void DiscardReadAhead();
@@ -106,6 +113,7 @@
   size_t HeldAnswerBytes() const;
   MemoryUse CurrentUse() const;
   void OnEvicted();
+  void Release(std::string_view refusal_reason);
   void ReleaseRequest();
   void WidenWindow();
   void NarrowWindow();
@@ -144,10 +152,11 @@
   TransferProgress m_progress;
   State m_state = State::kOpen;
   RequestPipeline m_pipeline;
-  std::deque<Answer> m_answers;   // Of the requests in m_pipeline; it is the turn of the first.
-  size_t m_request_bytes = 0;     // Bytes read of the request being read.
-  int m_refusal = 0;              // Status of a refusal that waits for its turn; 0: none.
-  bool m_discards_input = false;  // Read-ahead did not fit in memory; its requests never run.
+  std::deque<Answer> m_answers;       // Of the requests in m_pipeline; it is the turn of the first.
+  size_t m_request_bytes = 0;         // Bytes read of the request being read.
+  int m_refusal = 0;                  // Status of a refusal that waits for its turn; 0: none.
+  std::string_view m_refusal_reason;  // Empty: none is stated.
+  bool m_discards_input = false;      // Read-ahead did not fit in memory; its requests never run.
   bool m_has_wide_window = false;
   bool m_is_broken = false;            // An answer was broken off before its turn.
   bool m_has_first_byte = false;       // A byte of the request being read has been received.
--- a/src/downstream_connection_answers.cc
+++ b/src/downstream_connection_answers.cc
@@ -29,7 +29,12 @@
 
 evbuffer* DownstreamConnection::OutputOf(const DownstreamRequest& request) {
   size_t index = IndexOf(request);
-  if (index == 0) return bufferevent_get_output(m_bev);
+  if (index == 0) {
+    // The client delays nothing while there is nothing to send.
+    evbuffer* output = bufferevent_get_output(m_bev);
+    if (evbuffer_get_length(output) == 0) m_progress.Restart(EventLoop::NowUs());
+    return output;
+  }
   Answer& answer = m_answers[index];
   if (answer.held == nullptr) answer.held.reset(evbuffer_new());
   return answer.held.get();
@@ -53,12 +58,27 @@
   if (m_state == State::kOpen) m_memory.Charge(CurrentUse(), HeldBytes());
 }
 
-// Releases memory for other requests. An incomplete request has not run. If the client has not read
-// its answer, the answer is cut off; otherwise only the read-ahead is discarded.
-void DownstreamConnection::OnEvicted() {
+void DownstreamConnection::OnEvicted() { Release(kReasonMemory); }
+
+void DownstreamConnection::GiveUp() { Release(kReasonNoRoom); }
+
+std::optional<int64_t> DownstreamConnection::StalledSinceUs(int64_t now_us) const {
+  if (m_state != State::kOpen) return std::nullopt;
+  bool is_receiving = m_answers.empty() && m_has_first_byte && CanRead();
+  bool is_answering = !m_answers.empty() && evbuffer_get_length(bufferevent_get_output(m_bev)) > 0;
+  if (!is_receiving && !is_answering) return std::nullopt;
+  int64_t limit_us = is_receiving ? MemoryBudget::kStallUs : MemoryBudget::kAnswerStallUs;
+  int64_t since_us = m_progress.since_us();
+  return now_us - since_us > limit_us ? std::optional(since_us) : std::nullopt;
+}
+
+// Releases memory or the connection for other requests. An incomplete request has not run. If the
+// client has not read its answer, the answer is cut off; otherwise only the read-ahead is
+// discarded.
+void DownstreamConnection::Release(std::string_view refusal_reason) {
   if (m_state != State::kOpen) return;
   if (m_answers.empty()) {
-    if (CanRead()) Refuse(kHttpServiceUnavailable);
+    if (CanRead()) Refuse(kHttpServiceUnavailable, refusal_reason);
     return;
   }
   if (evbuffer_get_length(bufferevent_get_output(m_bev)) == 0) {
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -95,6 +95,7 @@
 inline constexpr char kReasonQuota[] = "quota";
 // The request does not fit in the memory of the node; see memory_budget.h.
 inline constexpr char kReasonMemory[] = "memory";
+inline constexpr char kReasonNoRoom[] = "no_room";
 // The request names a body that its node was to hand to itself, but that the node no longer holds;
 // see local_bodies.h.
 inline constexpr char kReasonBodyGone[] = "body_gone";
--- a/src/http_listener.cc
+++ b/src/http_listener.cc
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <utility>
+#include <vector>
 
 #include "downstream_connection.h"
 #include "request_target.h"
@@ -34,6 +36,10 @@
 // Share of the maximum that is closed at a time if connections are idle, and its lowest value.
 constexpr size_t kConnectionsPerIdleClose = 64;
 constexpr size_t kMinIdleCloses = 4;
+// While a port is full and none of its connections is idle, it closes this share of them, of those
+// whose clients delay them, each time that it checks.
+constexpr size_t kConnectionsPerStalledClose = 8;
+constexpr std::chrono::milliseconds kStalledCheckDelay{200};
 
 bool IsLackOfDescriptors(int error) {
   return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
@@ -90,6 +96,11 @@
   return {};
 }
 
+Counter& StalledCounterOf(Metrics& metrics, std::string_view port) {
+  return metrics.GetCounter("stalled_connections_closed_total",
+                            "port=\"" + std::string(port) + "\"");
+}
+
 void HttpListener::StopAccepting() { m_listener.reset(); }
 
 void HttpListener::SetPortLimits(const PortLimits& limits) {
@@ -132,16 +143,36 @@
   m_idle_closed += closed;
 }
 
+// Otherwise a crowd that stops short of the end of its requests, or does not read its answers,
+// would keep all others out.
+void HttpListener::GiveUpLongestStalled() {
+  int64_t now_us = EventLoop::NowUs();
+  std::vector<std::pair<int64_t, DownstreamConnection*>> stalled;
+  for (const auto& [connection, owner] : m_connections) {
+    if (auto since_us = connection->StalledSinceUs(now_us)) {
+      stalled.emplace_back(*since_us, connection);
+    }
+  }
+  size_t count = std::min(stalled.size(), m_connections.size() / kConnectionsPerStalledClose + 1);
+  auto end = stalled.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(stalled.begin(), end, stalled.end());
+  for (auto it = stalled.begin(); it != end; ++it) it->second->GiveUp();
+  m_stalled_closed += count;
+  if (m_stalled_counter != nullptr) m_stalled_counter->Add(count);
+}
+
 // A connection counts until it has been freed, since it holds its descriptor until then.
 void HttpListener::UpdateAccepting() {
   if (m_listener == nullptr) return;
   if (is_full()) CloseLongestIdle();
+  if (is_full() && m_idle.empty()) GiveUpLongestStalled();
   if (!is_full() && !m_is_accept_paused) {
     evconnlistener_enable(m_listener.get());
     return;
   }
   evconnlistener_disable(m_listener.get());
-  if (!m_idle.empty() && !m_accept_timer.IsPending()) m_accept_timer.Start(kAcceptRetryDelay);
+  if (m_accept_timer.IsPending()) return;
+  m_accept_timer.Start(m_idle.empty() ? kStalledCheckDelay : kAcceptRetryDelay);
 }
 
 void HttpListener::Accept(evutil_socket_t fd) {
@@ -161,7 +192,7 @@
     m_full_log_us = now_us;
     LOG(WARNING) << "event=connections_full port=" << m_port
                  << " connections=" << m_connections.size() << " idle=" << m_idle.size()
-                 << " idle_closed=" << m_idle_closed;
+                 << " idle_closed=" << m_idle_closed << " stalled_closed=" << m_stalled_closed;
   }
   UpdateAccepting();
 }
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -18,6 +18,7 @@
 #include "event_loop.h"
 #include "http_headers.h"
 #include "link_pacer.h"
+#include "metrics.h"
 #include "port_budget.h"
 #include "request_memory.h"
 
@@ -76,9 +77,13 @@
   void StopAccepting();
   // Must be called before Listen().
   void SetPortLimits(const PortLimits& limits);
+  // From now on counts the connections that are closed because the port is full and their clients
+  // delay their requests or answers. The counter must outlive the listener.
+  void SetStalledCounter(Counter& counter) { m_stalled_counter = &counter; }
   // From now on keeps at most `connections` open. Near the limit, a connection is closed after its
   // next answer; at the limit, idle connections are closed to make room for new ones, and if none
-  // is idle, new ones wait until a connection ends.
+  // is idle, those whose clients delay their requests or answers. If there are none either, new
+  // ones wait until a connection ends.
   void SetMaxConnections(size_t connections);
 
   // Whether a new connection is accepted at once. False while the port is full, even if idle
@@ -105,6 +110,7 @@
   bool ClosesAfterAnswer() const;
   bool MayOverlap(const HttpHead& head) const;
   void CloseLongestIdle();
+  void GiveUpLongestStalled();
   void UpdateAccepting();
 
   struct ListenerDeleter {
@@ -130,10 +136,16 @@
   int64_t m_last_accept_us = 0;
   // Time of the last failure of accept(); 0 once a connection is accepted.
   int64_t m_failed_us = 0;
-  uint64_t m_idle_closed = 0;  // Idle connections that were closed to make room.
+  // Connections that were closed to make room.
+  uint64_t m_idle_closed = 0;
+  uint64_t m_stalled_closed = 0;
+  Counter* m_stalled_counter = nullptr;
   // Times of the last log lines about failures and about the limit.
   int64_t m_failure_log_us = 0;
   int64_t m_full_log_us = 0;
 };
 
+// The counter for HttpListener::SetStalledCounter() of the port with this name.
+Counter& StalledCounterOf(Metrics& metrics, std::string_view port);
+
 }  // namespace guavatrail
--- a/test/correctness/memory_budget_evicts_longest_stalled_test.cc
+++ b/test/correctness/memory_budget_evicts_longest_stalled_test.cc
@@ -80,8 +80,9 @@
   answers.reserve(80);
   for (int i = 0; i < 80; ++i) answers.push_back(Add(MemoryUse::kAnswering, kMb / 10, i));
   uint64_t read = answers[0];
-  // Fewer bytes alone are no progress: the answer may shrink for other reasons.
-  m_budget.Charge(answers[2], MemoryUse::kAnswering, kMb / 10 - 1000, 4 * kSecond);
+  // Fewer bytes alone are no progress: the answer also shrinks and grows with what upstream sends.
+  m_budget.Charge(answers[1], MemoryUse::kAnswering, kMb / 10 - 1000, 4 * kSecond);
+  m_budget.Charge(answers[1], MemoryUse::kAnswering, kMb / 10, 4 * kSecond);
   m_budget.Charge(read, MemoryUse::kAnswering, kMb / 10 - 1000, 4 * kSecond);
   m_budget.RecordAnswerProgress(read, 4 * kSecond);
   uint64_t small = m_budget.Add();
