--- a/src/connection_pool.cc
+++ b/src/connection_pool.cc
@@ -1,19 +1,15 @@
 #include "connection_pool.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <glog/logging.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <charconv>
-#include <cstring>
 
 #include "http_reader.h"
-#include "socket_options.h"
+#include "upstream_socket.h"
 
 namespace guavatrail {
 
@@ -26,60 +22,11 @@
 constexpr int64_t kUsPerSecond = 1'000'000;
 // Share of the idle timeout announced by the server during which an idle connection is reused.
 constexpr double kAnnouncedIdleShare = 0.7;
-// TCP detects a dead connection within about 3 s, by keep-alive probes or unacknowledged data.
-constexpr int kKeepAliveIdleS = 1;
-constexpr int kKeepAliveIntervalS = 1;
-constexpr int kKeepAliveProbes = 2;
-constexpr unsigned kUserTimeoutMs = 3'000;
-// Bytes of a request that the kernel takes beyond what is on its way.
-constexpr int kKernelUnsentBytes = 131'072;
 constexpr int kFirstNonSuccessStatus = 300;
 // Maximum total size of the bodies of stale answers (those to earlier requests) that are discarded
 // during one exchange. More fails the exchange, since they could delay its answer forever.
 constexpr size_t kMaxDiscardedBytes = 1'048'576;
 
-void PrepareSocket(evutil_socket_t fd) {
-  DisableNagle(fd);
-  SetSocketOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
-  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
-  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetSocketOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
-  LimitUnsentBytes(fd, kKernelUnsentBytes);
-}
-
-sockaddr_in AddressOf(const std::string& ip, uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-  return address;
-}
-
-// Binds and connects a non-blocking socket. Returns false and sets errno if it fails immediately.
-bool StartConnect(evutil_socket_t fd, const ConnectionPool::Options& options) {
-  PrepareSocket(fd);
-  // Set before connecting, since the window depends on it.
-  if (options.receive_buffer_bytes > 0) SetReceiveBuffer(fd, options.receive_buffer_bytes);
-  if (!options.local_ip.empty()) {
-    sockaddr_in local = AddressOf(options.local_ip, 0);
-    if (bind(fd, reinterpret_cast<sockaddr*>(&local), sizeof(local)) != 0) return false;
-  }
-  sockaddr_in remote = AddressOf(options.ip, options.port);
-  return connect(fd, reinterpret_cast<sockaddr*>(&remote), sizeof(remote)) == 0 ||
-         errno == EINPROGRESS;
-}
-
-// Returns -1 and logs the error if connecting fails immediately.
-evutil_socket_t Connect(const ConnectionPool::Options& options) {
-  evutil_socket_t fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd >= 0 && StartConnect(fd, options)) return fd;
-  LOG_EVERY_N(WARNING, 100) << "event=connect_failed address=" << options.ip << ":" << options.port
-                            << " error=\"" << std::strerror(errno) << "\"";
-  if (fd >= 0) evutil_closesocket(fd);
-  return -1;
-}
-
 // The timeout of a Keep-Alive header such as "timeout=5, max=100", in microseconds; 0 if absent.
 int64_t AnnouncedIdleUs(const HeaderList& headers) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -152,7 +99,10 @@
       reader(HttpReader::Kind::kAnswer, kMaxHeaderBytes),
       connect_timer(owner.m_loop,
                     [this] { pool.FinishExchange(*this, ExchangeResult::kNotSent); }) {
-  evutil_socket_t fd = Connect(options);
+  evutil_socket_t fd = OpenUpstreamSocket({.ip = options.ip,
+                                           .port = options.port,
+                                           .local_ip = options.local_ip,
+                                           .receive_buffer_bytes = options.receive_buffer_bytes});
   if (fd < 0) return;
   bev = bufferevent_socket_new(owner.m_loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
   CHECK(bev != nullptr) << "bufferevent_socket_new failed";
--- a/test/error/stalled_connections_make_room_test.cc
+++ b/test/error/stalled_connections_make_room_test.cc
@@ -93,7 +93,8 @@
   FillPort(kRequest);
   ASSERT_TRUE(RunUntil(m_loop, [this] { return m_requests.size() == kMaxConnections; }));
   for (auto& client : m_clients) client->PauseReading();
-  const std::string body(20'000'000, 'x');
+  std::string body;
+  body.resize(20'000'000, 'x');
   m_requests.front()->Reply(200, {}, body);
   RunFor(m_loop, kStallTime);
   EXPECT_EQ(m_listener.connections(), kMaxConnections);
