Restart the progress of a connection at each of its turns

Cause: the time without progress of an answer also counted for the rest of a request that was being read behind it, so a full port could refuse that request too early. Found by reading the change. Change: it restarts when an answer has been written; the clock is read only when there is progress.

--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -166,7 +166,7 @@
     HttpReader::Event event = m_reader.Next(input, m_body);
     size_t read = length - evbuffer_get_length(input);
     m_request_bytes += read;
-    if (m_answers.empty()) m_progress.Add(read, EventLoop::NowUs());
+    if (m_answers.empty() && m_progress.Add(read)) m_progress.Restart(EventLoop::NowUs());
     switch (event) {
       case HttpReader::Event::kNeedMore:
         CountIncoming();
--- a/src/downstream_connection_answers.cc
+++ b/src/downstream_connection_answers.cc
@@ -102,7 +102,10 @@
 
 void DownstreamConnection::OnWritten(size_t bytes, size_t left) {
   if (m_state != State::kOpen || m_answers.empty()) return;
-  if (m_progress.Add(bytes, EventLoop::NowUs())) m_memory.RecordAnswerProgress();
+  if (m_progress.Add(bytes)) {
+    m_progress.Restart(EventLoop::NowUs());
+    m_memory.RecordAnswerProgress();
+  }
   CountAnswer();
   Answer& answer = m_answers.front();
   if (answer.paced_bytes > 1) {
@@ -151,6 +154,8 @@
   bool closes = m_answers.front().closes;
   m_answers.pop_front();
   m_pipeline.FinishFirst();
+  // What comes next is the answer behind it, or the rest of a request that is being read.
+  m_progress.Restart(EventLoop::NowUs());
   if (request != nullptr) request->m_connection = nullptr;
   CountAnswer();
   if (closes) {
@@ -172,7 +177,6 @@
 // Sends what has been held of the answer whose turn has come.
 void DownstreamConnection::StartNextAnswer() {
   Answer& answer = m_answers.front();
-  m_progress.Restart(EventLoop::NowUs());
   if (answer.request == nullptr) {
     // Not an immediate close, which could discard the earlier answers before the client reads them.
     Linger();
--- a/src/transfer_progress.h
+++ b/src/transfer_progress.h
@@ -17,12 +17,11 @@
     m_since_us = now_us;
     m_bytes = 0;
   }
-  // Counts transferred bytes. Returns whether they are progress together with those before.
-  bool Add(size_t bytes, int64_t now_us) {
+  // Counts transferred bytes. Returns whether they are progress together with those before, in
+  // which case Restart() must follow.
+  bool Add(size_t bytes) {
     m_bytes += bytes;
-    if (m_bytes < kProgressBytes) return false;
-    Restart(now_us);
-    return true;
+    return m_bytes >= kProgressBytes;
   }
   int64_t since_us() const { return m_since_us; }
 
