Keep a canary stopped while the owner of its rollout is silent

Callers saw: a bad version that gets calls again and again while the store is away. Cause: a canary that stops by itself closes its gate and is then listed as draining. The 40 bad answers of all canaries were divided among those that take new work, so its share grew from 20 to 40 and it started again, a quarter of a second later, and so on until each had given 40. Change: while no owner is heard of, canaries that have stopped still count (RolloutCounts::OnCanaries). In HoldTest the number of canaries is reported instead of passed to the query; the last line of its first case is now a case of its own, and the case of this fault is new: with the old rule it fails for one canary.

--- a/src/rollout_counts.cc
+++ b/src/rollout_counts.cc
@@ -109,9 +109,19 @@
   m_owner_us = now_us;
 }
 
-bool RolloutCounts::MustHold(size_t canaries, int64_t now_us) const {
-  if (now_us - m_owner_us < m_options.owner_silence_us) return false;
-  auto share = m_options.bad_answers / static_cast<int64_t>(std::max<size_t>(1, canaries));
+bool RolloutCounts::IsOwnerSilent(int64_t now_us) const {
+  return now_us - m_owner_us >= m_options.owner_silence_us;
+}
+
+// A canary that has stopped by itself takes no new work, but has used its share of the bad answers.
+// If it did not count any more, the shares of all would grow, and it would start again itself.
+void RolloutCounts::OnCanaries(size_t canaries, int64_t now_us) {
+  m_canaries = IsOwnerSilent(now_us) ? std::max(m_canaries, canaries) : canaries;
+}
+
+bool RolloutCounts::MustHold(int64_t now_us) const {
+  if (!IsOwnerSilent(now_us)) return false;
+  auto share = m_options.bad_answers / static_cast<int64_t>(std::max<size_t>(1, m_canaries));
   bool are_many = m_bad >= std::max(share, m_options.min_bad_answers);
   return are_many &&
          static_cast<double>(m_bad) >= m_options.min_bad_share * static_cast<double>(m_answers);
--- a/src/rollout_counts.h
+++ b/src/rollout_counts.h
@@ -86,19 +86,24 @@
   void OnResult(const ServerResult& result, int64_t now_us);
   // The owner of the rollout has sent the service times above which answers are slow.
   void OnOwner(std::map<std::string, int64_t, std::less<>> slow_limits, int64_t now_us);
+  // Number of canaries that take new work.
+  void OnCanaries(size_t canaries, int64_t now_us);
 
   // Queries.
   const WorkCounts& work() const { return m_work; }
   int64_t bad_answers() const { return m_bad; }
-  // Whether this server, one of `canaries`, must get no more work until the owner is heard of.
-  bool MustHold(size_t canaries, int64_t now_us) const;
+  // Whether this server must get no more work until the owner is heard of.
+  bool MustHold(int64_t now_us) const;
 
  private:
+  bool IsOwnerSilent(int64_t now_us) const;
+
   Options m_options;
   WorkCounts m_work;
   std::map<std::string, int64_t, std::less<>> m_slow_limits;
   int64_t m_answers = 0;
   int64_t m_bad = 0;
+  size_t m_canaries = 1;  // Among which bad_answers is divided.
   int64_t m_cold_until_us = 0;
   int64_t m_owner_us = 0;  // When the owner was last heard of, or the count has begun.
 };
--- a/test/correctness/rollout_counts_test.cc
+++ b/test/correctness/rollout_counts_test.cc
@@ -65,29 +65,56 @@
 };
 
 TEST_F(HoldTest, CanaryStopsAtItsShareOfBadAnswers) {
+  m_counts.OnCanaries(2, 0);
   Answer(100, 19);
-  EXPECT_FALSE(m_counts.MustHold(2, m_now_us));
+  EXPECT_FALSE(m_counts.MustHold(m_now_us));
   Answer(0, 1);
-  EXPECT_TRUE(m_counts.MustHold(2, m_now_us));
-  EXPECT_FALSE(m_counts.MustHold(1, m_now_us));
+  EXPECT_TRUE(m_counts.MustHold(m_now_us));
+}
+
+TEST_F(HoldTest, SingleCanaryHasTheWholeShare) {
+  m_counts.OnCanaries(1, 0);
+  Answer(100, 39);
+  EXPECT_FALSE(m_counts.MustHold(m_now_us));
+  Answer(0, 1);
+  EXPECT_TRUE(m_counts.MustHold(m_now_us));
+}
+
+// Canaries that stop are no longer listed as taking new work.
+TEST_F(HoldTest, CanaryThatHasStoppedStaysStopped) {
+  m_counts.OnCanaries(2, 0);
+  Answer(100, 20);
+  for (size_t canaries : {2, 1, 0}) {
+    m_counts.OnCanaries(canaries, m_now_us);
+    EXPECT_TRUE(m_counts.MustHold(m_now_us)) << canaries;
+  }
+}
+
+TEST_F(HoldTest, CanariesThatEndWhileTheOwnerIsHeardOfDoNotCount) {
+  m_counts.OnCanaries(2, 0);
+  m_counts.OnOwner({}, m_now_us);
+  m_counts.OnCanaries(1, m_now_us);
+  Answer(100, 39);
+  EXPECT_FALSE(m_counts.MustHold(m_now_us + 3 * kSecond));
 }
 
 TEST_F(HoldTest, OwnerThatIsHeardOfDecides) {
+  m_counts.OnCanaries(2, 0);
   Answer(0, 100);
   m_counts.OnOwner({}, m_now_us);
-  EXPECT_FALSE(m_counts.MustHold(2, m_now_us + kSecond));
-  EXPECT_TRUE(m_counts.MustHold(2, m_now_us + 3 * kSecond));
+  EXPECT_FALSE(m_counts.MustHold(m_now_us + kSecond));
+  EXPECT_TRUE(m_counts.MustHold(m_now_us + 3 * kSecond));
 }
 
 TEST_F(HoldTest, SlowAnswersCountByTheLimitOfTheOwner) {
   m_counts.OnOwner({{"a", 30'000}}, m_now_us);
   for (int i = 0; i < 40; ++i) m_counts.OnResult({"a", false, 31'000}, m_now_us);
-  EXPECT_TRUE(m_counts.MustHold(1, m_now_us + 3 * kSecond));
+  EXPECT_TRUE(m_counts.MustHold(m_now_us + 3 * kSecond));
 }
 
 TEST_F(HoldTest, FewFailuresInManyAnswersAreNoFault) {
   Answer(2'000, 50);
-  EXPECT_FALSE(m_counts.MustHold(1, m_now_us));
+  EXPECT_FALSE(m_counts.MustHold(m_now_us));
 }
 
 }  // namespace
