--- a/test/memory/own_control_plane_test.py
+++ b/test/memory/own_control_plane_test.py
@@ -10,6 +10,10 @@
 CLIENTS = 400
 CONNECTIONS = 3  # Of each client in a row.
 MAX_DESCRIPTORS = 320
+FRAME_BYTES = 1_900_000  # Less than the largest message that the port accepts.
+# The greeting of ZMTP 3.0 with the mechanism CURVE, and the head of a long command frame.
+GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"CURVE".ljust(20, b"\0") + bytes(32)
+FRAME_HEAD = b"\x06" + FRAME_BYTES.to_bytes(8, "big")
 
 
 class OwnControlPlane(MemoryCase):
@@ -38,6 +42,12 @@
                        unfinished_chunks("/catalogo/many", MIB // 2, [1, 2, 3]))
 
 
+    def test_frames_at_the_control_port(self):
+        """Frames in place of the first message of the handshake, which is far smaller."""
+        self.run_crowd(self.control, Script(GREETING + FRAME_HEAD, unit=b"x" * MIB,
+                                            body_bytes=FRAME_BYTES - 1))
+
+
 class OwnControlPlaneDescriptors(OwnControlPlane):
     max_descriptors = descriptor_bound = MAX_DESCRIPTORS
 
--- a/test/memory/site_under_test.py
+++ b/test/memory/site_under_test.py
@@ -24,16 +24,18 @@
 # Deadline of all calls; longer than WAIT_S, so that no check depends on it.
 DEADLINE_S = 120
 LARGE_ANSWER_BYTES = 200_000
+ENDPOINT_KIND = "guavatrail-endpoints"
 
 
-def config(max_body_bytes, version=1, limits=None):
+def config(max_body_bytes, version=1, limits=None, extra_rules=()):
     def rule(name, prefix, service):
         return {"name": name, "route-kind": "idempotent", "goal-s": 60, "priority": 1,
                 "match": {"path-prefix": prefix},
                 "action": {"service": service, "timeout-s": DEADLINE_S, "attempts": 2}}
     ruleset = [rule("parts", "/parts/", "catalogo"), rule("slow", "/slow/", "encomendas"),
                rule("own", "/own/", "encomendas"), rule("large", "/large/", "catalogo"),
-               rule("own-large", "/large/own/", "encomendas")]
+               rule("own-large", "/large/own/", "encomendas"),
+               *(rule(name, f"/{name}/", "catalogo") for name in extra_rules)]
     return {"version": version, "limits": {"max-body-bytes": max_body_bytes, **(limits or {})},
             "listeners": [{"authority": HOST, "ruleset": ruleset}],
             "clusters": [{"name": "catalogo"}, {"name": "encomendas"}]}
@@ -61,6 +63,7 @@
     def __init__(self, daemon, memory_mb, max_body_bytes, max_descriptors=0, limits=None):
         self.daemon, self.memory_mb, self.max_body_bytes = daemon, memory_mb, max_body_bytes
         self.max_descriptors, self.limits, self.version = max_descriptors, limits, 1
+        self.extra_rules = ()  # Names of rules that no request of the tests matches.
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="guavatrail-memory-"))
         net = 16 + os.getpid() % 200
         self.nodes = [Node(1, "encomendas", net), Node(2, "catalogo", net)]
@@ -95,12 +98,20 @@
 
     async def put_config(self):
         await self.store.put("config", "main",
-                             config(self.max_body_bytes, self.version, self.limits))
+                             config(self.max_body_bytes, self.version, self.limits,
+                                    self.extra_rules))
 
     def change_config(self):
         self.version += 1
         self.run(self.put_config())
 
+    def put_endpoint(self, name):
+        """Stores the record of a node of another service that does not run."""
+        self.run(self.store.put(ENDPOINT_KIND, name, {
+            "incarnation": 1, "service": "absent", "region": "norte", "data_centre": "norte-a",
+            "ip": self.store_ip, "peer_port": PEER, "slots": 1, "link_mbps": 0, "draining": False,
+            "server": {"id": name, "started_ms": 1, "sequence": 1, "state": "ready"}}))
+
     def restart_servers(self):
         for backend in self.backends:
             self.run(backend.crash())
--- a/test/memory/swarm.py
+++ b/test/memory/swarm.py
@@ -33,8 +33,9 @@
     return Script(head.encode(), **fields)
 
 
-def get(target, **fields):
-    return Script(f"GET {target} HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode(), **fields)
+def get(target, header="", **fields):
+    """A GET request; `header` consists of whole header lines."""
+    return Script(f"GET {target} HTTP/1.1\r\nHost: {HOST}\r\n{header}\r\n".encode(), **fields)
 
 
 def unfinished_body(target, length, missing=1, **fields):
