Reserve memory for messages of nodes before they are decoded

Callers saw: a node that exceeds the memory of its VM after a few requests of legal size at the peer port. Cause: messages of empty fields take about fifty times their size when they are decoded, which nothing counted. Change: for a message above 16 KiB, 64 times its size is reserved in the budget while its handler decodes it; if that does not fit, it is refused as not run. Messages of nodes take a few hundred bytes to some KB.

--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -103,6 +103,11 @@
   return {};
 }
 
+void ServingProxy::SetMemory(std::shared_ptr<RequestMemory> memory) {
+  m_memory = memory;
+  m_listener.SetMemory(std::move(memory));
+}
+
 void ServingProxy::StartDrain(std::function<void()> idle) {
   m_draining = true;
   m_on_idle = std::move(idle);
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -23,11 +23,13 @@
 #include "failure_rate.h"
 #include "http_listener.h"
 #include "keyed_orders.h"
+#include "label_values.h"
 #include "local_bodies.h"
 #include "metrics.h"
 #include "pending_replies.h"
 #include "proxy_error.h"
 #include "random_source.h"
+#include "request_memory.h"
 #include "rollout_counts.h"
 #include "server_registry.h"
 #include "settings.h"
@@ -84,7 +86,9 @@
     m_pacer = &pacer;
     m_listener.SetPacer(pacer);
   }
-  void SetMemory(std::shared_ptr<RequestMemory> memory) { m_listener.SetMemory(std::move(memory)); }
+  // From now on, what clients of the peer port hold and what decoded messages of nodes take counts
+  // in `memory`.
+  void SetMemory(std::shared_ptr<RequestMemory> memory);
   // Must be at least what entry nodes accept, since they forward whole bodies.
   void SetMaxBodyBytes(size_t bytes) { m_listener.SetLimits({.max_body_bytes = bytes}); }
   // From now on takes the large bodies of this node's own entry proxy from `bodies`.
@@ -118,6 +122,8 @@
 
   void OnRequest(std::unique_ptr<DownstreamRequest> request);
   void OnInternalPath(std::unique_ptr<DownstreamRequest> request);
+  void HandleMessage(const HttpListener::Handler& handler,
+                     std::unique_ptr<DownstreamRequest> request);
   bool TakeLocalBody(std::unique_ptr<DownstreamRequest>& request);
   void IssueKey(std::unique_ptr<DownstreamRequest> request);
   void Fence(std::unique_ptr<DownstreamRequest> request);
@@ -210,6 +216,7 @@
   CrashBlame* m_blame = nullptr;
   CrashContainment* m_containment = nullptr;
   LocalBodies* m_local_bodies = nullptr;
+  std::shared_ptr<RequestMemory> m_memory;  // Null: nothing is counted.
   SuspectObserver m_on_suspects_changed;
   CrashDetector m_crash_detector;
   KeyedOrders m_orders;
--- a/src/serving_proxy_internal_paths.cc
+++ b/src/serving_proxy_internal_paths.cc
@@ -5,6 +5,16 @@
 
 namespace guavatrail {
 
+namespace {
+
+// Decoded, a smaller message takes less than a megabyte.
+constexpr size_t kSmallMessageBytes = 16'384;
+// Most that a byte of a message takes when it is decoded: two bytes are an empty field, which takes
+// an object of about a hundred bytes and its place in a list.
+constexpr size_t kDecodedBytesPerByte = 64;
+
+}  // namespace
+
 void ServingProxy::OnInternalPath(std::unique_ptr<DownstreamRequest> request) {
   std::string path(request->path());
   if (path == kOrderKeyPath && request->method() == EVHTTP_REQ_POST) {
@@ -12,7 +22,7 @@
   } else if (path == kFencePath && request->method() == EVHTTP_REQ_POST) {
     Fence(std::move(request));
   } else if (auto it = m_path_handlers.find(path); it != m_path_handlers.end()) {
-    it->second(std::move(request));
+    HandleMessage(it->second, std::move(request));
   } else if (path.starts_with(kProbePathPrefix) && request->method() == EVHTTP_REQ_GET) {
     Probe(std::move(request));
   } else {
@@ -20,6 +30,20 @@
   }
 }
 
+// Any client that reaches the port can send a message. One that consists of empty fields takes many
+// times its size when it is decoded, so what it may take is reserved while the handler decodes it.
+void ServingProxy::HandleMessage(const HttpListener::Handler& handler,
+                                 std::unique_ptr<DownstreamRequest> request) {
+  size_t bytes = request->body()->size();
+  MemoryShare decoded(m_memory);
+  if (bytes <= kSmallMessageBytes ||
+      decoded.Grow(MemoryUse::kRunning, kDecodedBytesPerByte * bytes)) {
+    handler(std::move(request));
+    return;
+  }
+  RefuseRequest(std::move(request), kReasonMemory, kDrainRetryAfterMs);
+}
+
 void ServingProxy::IssueKey(std::unique_ptr<DownstreamRequest> request) {
   if (m_draining) {
     RefuseRequest(std::move(request), kReasonDraining, kDrainRetryAfterMs);
