Limit the names of work kinds that clients of the peer port can make up

Callers saw: memory of a node that grows with each request whose header names another work kind, and does not fall again. Cause: the histogram of answer times had a label value for each name, of any length. Change: names that no configuration allows (more than 63 characters, or others than a-z, 0-9 and -) are not used, and the histogram has 256 work kinds and one for the others (LabelValues, which the counter of quotas now shares).

--- a/src/quota_refusals.cc
+++ b/src/quota_refusals.cc
@@ -7,16 +7,14 @@
 namespace {
 
 constexpr int64_t kLogIntervalUs = 1'000'000;
-constexpr std::string_view kOther = "other";
 
 }  // namespace
 
 QuotaRefusals::Entry& QuotaRefusals::EntryOf(std::string_view workspace) {
-  auto it = m_entries.find(workspace);
-  if (it != m_entries.end()) return it->second;
-  std::string_view name = m_entries.size() < kMaxLabels ? workspace : kOther;
-  Entry& entry = m_entries[std::string(name)];
-  std::string labels = "workspace=\"" + std::string(name) + "\"";
+  std::string name(m_labels.Of(workspace));
+  Entry& entry = m_entries[name];
+  if (entry.counter != nullptr) return entry;
+  std::string labels = "workspace=\"" + name + "\"";
   entry.counter = &m_metrics.GetCounter("quota_refused_total", labels);
   return entry;
 }
--- a/src/quota_refusals.h
+++ b/src/quota_refusals.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "label_values.h"
 #include "metrics.h"
 
 namespace guavatrail {
@@ -16,7 +17,7 @@
   // Workspaces that are counted under their name; others are counted as "other".
   static constexpr size_t kMaxLabels = 100;
 
-  explicit QuotaRefusals(Metrics& metrics) : m_metrics(metrics) {}
+  explicit QuotaRefusals(Metrics& metrics) : m_metrics(metrics), m_labels(kMaxLabels) {}
 
   // Logs at most one line a second and workspace.
   void Record(std::string_view workspace, int64_t retry_after_ms, int64_t now_us);
@@ -31,6 +32,7 @@
   Entry& EntryOf(std::string_view workspace);
 
   Metrics& m_metrics;
+  LabelValues m_labels;
   std::map<std::string, Entry, std::less<>> m_entries;
 };
 
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -268,7 +268,8 @@
   HeaderList headers = head.headers;
   RemoveNodeHeaders(headers);
   int64_t server_us = EventLoop::NowUs() - call.start_us;
-  m_metrics.GetHistogram("server_answer_us", "kind=\"" + call.work.name + "\"").Record(server_us);
+  std::string kind(m_kind_labels.Of(call.work.name));
+  m_metrics.GetHistogram("server_answer_us", "kind=\"" + kind + "\"").Record(server_us);
   if (call.is_keyed()) call.answer = {head.status, headers, ""};
   if (!call.is_attached()) return;
   call.has_unknown_length = !head.content_length && head.framing != BodyFraming::kNone;
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -39,6 +39,9 @@
 
 class ServingProxy {
  public:
+  // Work kinds with metrics of their own; others are counted as LabelValues::kOther.
+  static constexpr size_t kMaxKindLabels = 256;
+
   struct ServerObserver {
     // Another server than `server_id` answers at the address.
     std::function<void(const std::string& server_id)> on_wrong_server;
@@ -204,6 +207,7 @@
   std::string m_name;
   std::string m_service;
   Metrics& m_metrics;
+  LabelValues m_kind_labels{kMaxKindLabels};
   AdmissionPolicy m_admission;
   bool m_has_adaptive_concurrency;
   // The concurrency limit as last seen and as last logged; 0: not yet.
--- a/src/work_tag.cc
+++ b/src/work_tag.cc
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "config_table.h"
+
 namespace guavatrail {
 
 namespace {
@@ -48,7 +50,7 @@
 
 std::optional<WorkTag> ParseWorkTag(std::string_view text) {
   std::vector<std::string_view> fields = SplitFields(text);
-  if (fields.size() != kFieldCount || fields[0].empty()) return std::nullopt;
+  if (fields.size() != kFieldCount || !IsConfigName(fields[0])) return std::nullopt;
   std::string_view importance = fields[1];
   if (!importance.starts_with(kImportance)) return std::nullopt;
   importance.remove_prefix(kImportance.size());
