Refuse whole answers that do not fit in memory

Callers saw: a node that exceeds the memory of its VM when the configuration changes while clients of the peer port wait for the change and then take nothing of it. Cause: answers that a node writes as a whole (configurations, endpoints, suspects, quotas, metrics) were counted but never refused, and all waiting requests are answered at the same moment. Change: such an answer must fit beside the reserve for small requests, for which only stalled holders are evicted (MemoryBudget::GrowAnswer); otherwise it is a 503 with reason memory.

--- a/src/config_relay_answers.cc
+++ b/src/config_relay_answers.cc
@@ -95,7 +95,7 @@
   }
   headers.emplace_back(kChangeDigestHeader, m_digest);
   request->BypassPacing();
-  m_replies.Reply(std::move(request), kHttpOk, headers, *change);
+  m_replies.ReplyWithin(std::move(request), headers, *change);
 }
 
 // Sends the whole table, or refers the requester to another node while other tables are being sent.
@@ -107,11 +107,12 @@
   if (std::holds_alternative<TableReferrals::SendTable>(answer)) {
     m_referrals.OnTransferStarted(bytes);
     request->BypassPacing();
-    m_replies.Reply(std::move(request), kHttpOk, headers, m_encoded,
-                    [this, bytes, node = std::string(requester), sent = version()](bool written) {
-                      m_referrals.OnTransferEnded(bytes);
-                      if (written && sent == version()) RecordTableHolder(node);
-                    });
+    m_replies.ReplyWithin(
+        std::move(request), headers, m_encoded,
+        [this, bytes, node = std::string(requester), sent = version()](bool written) {
+          m_referrals.OnTransferEnded(bytes);
+          if (written && sent == version()) RecordTableHolder(node);
+        });
     return;
   }
   const auto* other = std::get_if<TableReferrals::Referral>(&answer);
--- a/src/downstream_connection.h
+++ b/src/downstream_connection.h
@@ -65,6 +65,8 @@
   void Abort(const DownstreamRequest& request, bool reset);
   // Announces the body size of its answer, which begins; large answers are paced.
   void SetAnswerLength(const DownstreamRequest& request, uint64_t bytes);
+  // Reserves memory for a further `bytes` of an answer. Returns false if they do not fit.
+  bool MakeRoomFor(size_t bytes);
   // Must be called when answer bytes have been added to an output.
   void CountAnswer();
   // Whether answers must be buffered as little as possible.
--- a/src/downstream_connection_answers.cc
+++ b/src/downstream_connection_answers.cc
@@ -53,6 +53,10 @@
   return sum;
 }
 
+bool DownstreamConnection::MakeRoomFor(size_t bytes) {
+  return m_state != State::kOpen || m_memory.GrowAnswer(HeldBytes() + bytes);
+}
+
 // Counts answer bytes, which cannot be refused any more.
 void DownstreamConnection::CountAnswer() {
   if (m_state == State::kOpen) m_memory.Charge(CurrentUse(), HeldBytes());
--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -96,6 +96,10 @@
   evbuffer_add(output, "\r\n", 2);
 }
 
+bool DownstreamRequest::MakeRoomFor(size_t body_bytes) {
+  return m_connection == nullptr || m_connection->MakeRoomFor(body_bytes);
+}
+
 void DownstreamRequest::Reply(int status, const HeaderList& headers, std::string_view body) {
   if (m_connection == nullptr || m_started) return;
   WriteHead(status, ReasonPhrase(status), headers, body.size());
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -57,6 +57,9 @@
   // Exempts the answer from pacing, whatever its size.
   void BypassPacing() { m_is_expedited = true; }
 
+  // Reserves memory for the body of an answer, of which all bytes are held until the client has
+  // taken them. Returns false if they do not fit, and a refusal must be sent instead.
+  bool MakeRoomFor(size_t body_bytes);
   // Sends a complete answer. Further answers to the same request are ignored.
   void Reply(int status, const HeaderList& headers, std::string_view body);
   // Starts an answer that is sent in parts; without a length it uses chunked encoding.
--- a/src/memory_budget.cc
+++ b/src/memory_budget.cc
@@ -142,9 +142,27 @@
     grant.is_granted = Select(m_answering, now_us - kAnswerStallUs, id, excess, grant.evicted);
   }
   if (!grant.is_granted) return {.is_granted = false};
-  for (uint64_t evicted : grant.evicted) Charge(evicted, m_holders.at(evicted).use, 0, now_us);
+  Evict(grant.evicted, now_us);
   Charge(id, use, bytes, now_us);
   return grant;
 }
 
+void MemoryBudget::Evict(std::span<const uint64_t> ids, int64_t now_us) {
+  for (uint64_t id : ids) Charge(id, m_holders.at(id).use, 0, now_us);
+}
+
+MemoryGrant MemoryBudget::GrowAnswer(uint64_t id, int64_t bytes, int64_t now_us) {
+  auto it = m_holders.find(id);
+  if (it == m_holders.end() || m_capacity == 0) return {};
+  Excess excess{.all = m_held - it->second.bytes + bytes - MaxHolderBytes()};
+  MemoryGrant grant;
+  grant.is_granted = excess.all <= 0 ||
+                     Select(m_receiving, now_us - kStallUs, id, excess, grant.evicted) ||
+                     Select(m_answering, now_us - kAnswerStallUs, id, excess, grant.evicted);
+  if (!grant.is_granted) return {.is_granted = false};
+  Evict(grant.evicted, now_us);
+  Charge(id, MemoryUse::kAnswering, bytes, now_us);
+  return grant;
+}
+
 }  // namespace guavatrail
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <set>
+#include <span>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -46,6 +47,10 @@
   // evict: the ones that have been without progress for longest, and longer than the holder. If
   // that does not suffice, evicts none and refuses: the holder must release what it holds.
   MemoryGrant Grow(uint64_t id, MemoryUse use, int64_t bytes, int64_t now_us);
+  // The holder wants to hold `bytes` in all for an answer that can still be replaced by a refusal.
+  // The answer leaves the reserve free, and only stalled holders are evicted for it. If that does
+  // not suffice, evicts none and refuses; the holder keeps what it has.
+  MemoryGrant GrowAnswer(uint64_t id, int64_t bytes, int64_t now_us);
   // The client of the holder has accepted a part of its answer that counts as progress.
   void RecordAnswerProgress(uint64_t id, int64_t now_us);
   // The holder holds `bytes` in all, whether or not they fit in the budget.
@@ -77,6 +82,7 @@
   Queue* QueueOf(MemoryUse use);
   bool Select(const Queue& queue, int64_t before_us, uint64_t except, Excess& excess,
               std::vector<uint64_t>& selected) const;
+  void Evict(std::span<const uint64_t> ids, int64_t now_us);
   void Count(uint64_t id, const Holder& holder, int sign);
   static void Progress(Holder& holder, MemoryUse use, int64_t bytes, int64_t now_us);
 
--- a/src/pending_replies.cc
+++ b/src/pending_replies.cc
@@ -2,6 +2,13 @@
 
 namespace guavatrail {
 
+namespace {
+
+// Memory is held for as long as requests run, mostly less than a second.
+constexpr int64_t kRetryAfterMs = 1'000;
+
+}  // namespace
+
 void PendingReplies::Reply(std::unique_ptr<DownstreamRequest> request, int status,
                            const HeaderList& headers, std::string_view body,
                            std::function<void(bool)> ended) {
@@ -21,4 +28,18 @@
   raw->Reply(status, headers, body);
 }
 
+void PendingReplies::ReplyWithin(std::unique_ptr<DownstreamRequest> request,
+                                 const HeaderList& headers, std::string_view body,
+                                 std::function<void(bool)> ended) {
+  if (request->MakeRoomFor(body.size())) {
+    Reply(std::move(request), kHttpOk, headers, body, std::move(ended));
+    return;
+  }
+  HeaderList refusal = {{kReasonHeader, kReasonMemory}};
+  SetRetryAfter(refusal, kRetryAfterMs);
+  Reply(std::move(request), kHttpServiceUnavailable, refusal, {}, [ended = std::move(ended)](bool) {
+    if (ended) ended(false);
+  });
+}
+
 }  // namespace guavatrail
--- a/src/pending_replies.h
+++ b/src/pending_replies.h
@@ -22,6 +22,10 @@
   // the client has disconnected.
   void Reply(std::unique_ptr<DownstreamRequest> request, int status, const HeaderList& headers,
              std::string_view body = "", std::function<void(bool written)> ended = nullptr);
+  // As Reply, with status 200 and a body that may be large. Sends a refusal instead if the body
+  // does not fit in the memory of the process; `ended` is then called with false.
+  void ReplyWithin(std::unique_ptr<DownstreamRequest> request, const HeaderList& headers,
+                   std::string_view body, std::function<void(bool written)> ended = nullptr);
   bool empty() const { return m_requests.empty(); }
   // The handler is called whenever the last pending reply has ended.
   void SetEmptyHandler(std::function<void()> handler) { m_on_empty = std::move(handler); }
--- a/src/request_memory.cc
+++ b/src/request_memory.cc
@@ -136,8 +136,20 @@
   if (m_memory == nullptr || (m_bytes == 0 && bytes == 0)) return true;
   RequestMemory& memory = *m_memory;
   memory.ReturnFreeMemory(bytes > MemoryBudget::kSmallBytes);
-  MemoryGrant grant =
-      memory.m_budget.Grow(m_id, use, static_cast<int64_t>(bytes), EventLoop::NowUs());
+  return Apply(memory.m_budget.Grow(m_id, use, static_cast<int64_t>(bytes), EventLoop::NowUs()),
+               bytes);
+}
+
+bool MemoryShare::GrowAnswer(size_t bytes) {
+  if (m_memory == nullptr) return true;
+  m_memory->ReturnFreeMemory(bytes > MemoryBudget::kSmallBytes);
+  return Apply(m_memory->m_budget.GrowAnswer(m_id, static_cast<int64_t>(bytes), EventLoop::NowUs()),
+               bytes);
+}
+
+// Carries out the decision on the growth of the holder to `bytes`. Returns whether it may grow.
+bool MemoryShare::Apply(const MemoryGrant& grant, size_t bytes) {
+  RequestMemory& memory = *m_memory;
   if (!grant.is_granted) {
     memory.ReportRefused("no_space", static_cast<int64_t>(bytes));
     return false;
--- a/src/request_memory.h
+++ b/src/request_memory.h
@@ -67,10 +67,14 @@
 
   // See MemoryBudget. Returns false if the holder must release its bytes.
   bool Grow(MemoryUse use, size_t bytes);
+  // See MemoryBudget. Returns false if the answer must be replaced by a refusal.
+  bool GrowAnswer(size_t bytes);
   void Charge(MemoryUse use, size_t bytes);
   void RecordAnswerProgress();
 
  private:
+  bool Apply(const MemoryGrant& grant, size_t bytes);
+
   std::shared_ptr<RequestMemory> m_memory;  // May be null.
   uint64_t m_id = 0;
   size_t m_bytes = 0;
--- a/test/correctness/memory_budget_keeps_a_reserve_test.cc
+++ b/test/correctness/memory_budget_keeps_a_reserve_test.cc
@@ -67,5 +67,37 @@
   EXPECT_EQ(budget.held_bytes(), 100'000 * kMb);
 }
 
+// Otherwise answers that are written as a whole, such as configurations, would fill the budget when
+// many clients that take nothing get them at once.
+TEST(MemoryBudgetReserve, WholeAnswersLeaveTheReserveFree) {
+  MemoryBudget budget(80 * kMb);
+  int granted = 0;
+  for (int i = 0; i < 200; ++i) {
+    if (budget.GrowAnswer(budget.Add(), kMb, 0).is_granted) ++granted;
+  }
+  EXPECT_EQ(granted, 70);
+  EXPECT_TRUE(budget.Grow(budget.Add(), MemoryUse::kReceiving, 65'536, 0).is_granted);
+}
+
+TEST(MemoryBudgetReserve, WholeAnswerReplacesAStalledOneOnly) {
+  MemoryBudget budget(80 * kMb);
+  uint64_t stalled = budget.Add();
+  EXPECT_TRUE(budget.GrowAnswer(stalled, 60 * kMb, 0).is_granted);
+  uint64_t waiting = budget.Add();
+  EXPECT_FALSE(budget.GrowAnswer(waiting, 20 * kMb, MemoryBudget::kAnswerStallUs / 2).is_granted);
+  MemoryGrant grant = budget.GrowAnswer(waiting, 20 * kMb, 2 * MemoryBudget::kAnswerStallUs);
+  EXPECT_TRUE(grant.is_granted);
+  EXPECT_EQ(grant.evicted, std::vector<uint64_t>{stalled});
+  EXPECT_EQ(budget.held_bytes(), 20 * kMb);
+}
+
+TEST(MemoryBudgetReserve, AnswerThatIsRefusedKeepsWhatItsConnectionHolds) {
+  MemoryBudget budget(80 * kMb);
+  uint64_t id = budget.Add();
+  budget.Charge(id, MemoryUse::kAnswering, kMb, 0);
+  EXPECT_FALSE(budget.GrowAnswer(id, 71 * kMb, 0).is_granted);
+  EXPECT_EQ(budget.held_bytes(), kMb);
+}
+
 }  // namespace
 }  // namespace guavatrail
