Accept the connections of the ZeroMQ control port outside of libzmq

Operators saw: a node with its own control plane that exceeds the memory of its VM, or uses up its descriptors, because of clients that connect to the control port without having the key of the fleet. Cause: libzmq does not limit its connections, and takes frames of up to 2 MB from each before the handshake. Change: ControlPortGuard accepts the connections and passes their bytes on to libzmq. Connections of nodes are not limited.

--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -61,9 +61,12 @@
 }
 
 TransportOptions TransportOptionsOf(const Settings& settings) {
-  return {settings.node.name, settings.listen.ip,
-          static_cast<uint16_t>(settings.listen.control_port), settings.control.public_key,
-          settings.control.secret_key};
+  return {settings.node.name,
+          settings.listen.ip,
+          static_cast<uint16_t>(settings.listen.control_port),
+          settings.control.public_key,
+          settings.control.secret_key,
+          BudgetOf(settings).service};
 }
 
 DetectorOptions DetectorOptionsOf(const Settings& settings) {
--- a/src/control_transport.cc
+++ b/src/control_transport.cc
@@ -23,8 +23,8 @@
 constexpr int kConnectTimeoutMs = 3000;
 // A handshake waits for the authentication handler, which runs on the event loop.
 constexpr int kHandshakeMs = 5000;
-// TCP keep-alive detects connections of peers that vanished without closing them, which would
-// otherwise stay open at the ROUTER socket forever: 60 s idle, then 3 probes 10 s apart.
+// TCP keep-alive detects peers that vanished without closing their connections: 60 s idle, then 3
+// probes 10 s apart.
 constexpr int kKeepAliveIdleS = 60;
 constexpr int kKeepAliveIntervalS = 10;
 constexpr int kKeepAliveProbes = 3;
@@ -146,7 +146,13 @@
                  metrics.GetCounter("control_misaddressed_total"),
                  metrics.GetCounter("control_dropped_total"),
                  metrics.GetCounter("control_disconnects_total")},
-      m_context(zmq_ctx_new()) {
+      m_context(zmq_ctx_new()),
+      m_guard(loop,
+              {.ip = m_options.ip,
+               .port = m_options.port,
+               .limits = m_options.limits,
+               .handshake_timeout = std::chrono::milliseconds(kHandshakeMs)},
+              metrics) {
   CHECK(m_context != nullptr) << "zmq_ctx_new failed";
   zmq_ctx_set(m_context.get(), ZMQ_IO_THREADS, 1);
 }
@@ -209,11 +215,12 @@
     return tl::make_unexpected(
         LastError("control.secret_key is not a valid CURVE key of 40 Z85 characters"));
   }
-  std::string address = m_options.ip + ":" + std::to_string(m_options.port);
-  if (zmq_bind(m_router->handle, ZeroMqAddress(address).c_str()) != 0) {
-    return tl::make_unexpected(LastError("cannot bind the control port " + address));
+  if (zmq_bind(m_router->handle, m_guard.endpoint().c_str()) != 0) {
+    return tl::make_unexpected(LastError("cannot bind " + m_guard.endpoint()));
   }
   RegisterWithLoop(m_router);
+  auto listening = m_guard.Listen();
+  if (!listening) return tl::make_unexpected(TransportError{listening.error()});
   return {};
 }
 
--- a/src/control_transport.h
+++ b/src/control_transport.h
@@ -16,8 +16,10 @@
 #include <tl/expected.hpp>
 
 #include "control.pb.h"
+#include "control_port_guard.h"
 #include "event_loop.h"
 #include "metrics.h"
+#include "port_budget.h"
 
 namespace guavatrail {
 
@@ -30,6 +32,8 @@
   uint16_t port = 0;
   std::string public_key;  // Fleet key pair, in Z85 encoding.
   std::string secret_key;
+  // Of the connections whose clients have not proved yet that they have the fleet key.
+  PortLimits limits;
 };
 
 struct TransportError {
@@ -109,6 +113,7 @@
   Counters m_counters;
   Handler m_handler;
   std::unique_ptr<void, ContextDeleter> m_context;
+  ControlPortGuard m_guard;
   std::shared_ptr<Socket> m_authentication;
   std::shared_ptr<Socket> m_events;
   std::shared_ptr<Socket> m_router;
