Limit the nodes whose quota reports a coordinator counts

Callers saw: memory of a node that grows while clients of the peer port send quota reports, each under another name. Cause: the ledger keeps what a node has reported for a minute, with all workspaces, whether the node is known or not. Change: nodes that are not listed are counted up to 64, or as many as are listed. A node above that gets a 503 and asks again, as it does when a coordinator has no quotas. QuotaLedgerTest passes.

--- a/src/quota_exchange.cc
+++ b/src/quota_exchange.cc
@@ -163,7 +163,7 @@
     return;
   }
   // A reply without limits would let the node admit all requests.
-  if (!m_enforcer.has_quotas()) {
+  if (!m_enforcer.has_quotas() || !m_ledger.HasRoomFor(report->node)) {
     m_replies.Reply(std::move(request), kHttpServiceUnavailable, {});
     return;
   }
--- a/src/quota_ledger.cc
+++ b/src/quota_ledger.cc
@@ -40,6 +40,8 @@
 constexpr int64_t kIdleUs = 3'000'000;
 constexpr int64_t kIdlePeriods = 4;
 constexpr int64_t kForgetNodeUs = 60'000'000;
+// Nodes that are not listed yet may report, at least this many and as many as are listed.
+constexpr size_t kMinUnlistedNodes = 64;
 constexpr int64_t kForgetUsageUs = 10'000'000;
 constexpr size_t kMinUsagesToForget = 64;
 // The group is counted at most this often.
@@ -104,6 +106,11 @@
   return std::max<size_t>(1, known);
 }
 
+bool QuotaLedger::HasRoomFor(std::string_view node) const {
+  if (m_nodes.contains(node) || m_known.contains(std::string(node))) return true;
+  return m_nodes.size() < m_known.size() + std::max(kMinUnlistedNodes, m_known.size());
+}
+
 double QuotaLedger::GroupAt(int64_t now_us) const {
   auto recent = std::count_if(m_nodes.begin(), m_nodes.end(),
                               [&](const auto& item) { return IsRecent(item.second, now_us); });
--- a/src/quota_ledger.h
+++ b/src/quota_ledger.h
@@ -34,6 +34,9 @@
   QuotaReply OnReport(const QuotaReport& report, int64_t now_us);
 
   // Queries.
+  // Whether a report of this node can be counted. False for a node that is not known while as many
+  // others report that are not: clients of the peer port can make up names.
+  bool HasRoomFor(std::string_view node) const;
   // Fraction of the known nodes that have reported within the last moments; at most 1.
   double GroupAt(int64_t now_us) const;
   // The level of the bucket of a workspace in requests; negative: more was admitted than the quota
--- a/test/correctness/quota_ledger_test.cc
+++ b/test/correctness/quota_ledger_test.cc
@@ -149,5 +149,20 @@
   EXPECT_EQ(m_ledger.limited(), 0U);
 }
 
+// Clients of the peer port can report under names that they make up.
+TEST_F(QuotaLedgerTest, NodesThatAreNotKnownAreLimited) {
+  size_t counted = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    Node node{.name = "forged-" + std::to_string(i)};
+    if (!m_ledger.HasRoomFor(node.name)) continue;
+    Report(node);
+    ++counted;
+  }
+  EXPECT_GE(counted, 64U);
+  EXPECT_LE(counted, 68U);
+  for (const Node& node : m_nodes) EXPECT_TRUE(m_ledger.HasRoomFor(node.name));
+  EXPECT_TRUE(m_ledger.HasRoomFor("forged-0"));
+}
+
 }  // namespace
 }  // namespace guavatrail
--- a/test/memory/site_under_test.py
+++ b/test/memory/site_under_test.py
@@ -27,9 +27,9 @@
 ENDPOINT_KIND = "guavatrail-endpoints"
 
 
-def config(max_body_bytes, version=1, limits=None, extra_rules=()):
+def config(max_body_bytes, version=1, limits=None, extra_rules=(), tenants=()):
     def rule(name, prefix, service):
-        return {"name": name, "route-kind": "idempotent", "goal-s": 60, "priority": 1,
+        return {"name": name, "route-kind": "idempotent", "goal-s": 60, "priority": 1, "public": True,
                 "match": {"path-prefix": prefix},
                 "action": {"service": service, "timeout-s": DEADLINE_S, "attempts": 2}}
     ruleset = [rule("parts", "/parts/", "catalogo"), rule("slow", "/slow/", "encomendas"),
@@ -38,7 +38,9 @@
                *(rule(name, f"/{name}/", "catalogo") for name in extra_rules)]
     return {"version": version, "limits": {"max-body-bytes": max_body_bytes, **(limits or {})},
             "listeners": [{"authority": HOST, "ruleset": ruleset}],
-            "clusters": [{"name": "catalogo"}, {"name": "encomendas"}]}
+            "clusters": [{"name": "catalogo"}, {"name": "encomendas"}],
+            "tenants": [{"name": name, "api-keys": [f"key-{name}"], "rate-per-s": 100}
+                        for name in tenants]}
 
 
 class SlowBackend(Backend):
@@ -64,6 +66,8 @@
         self.daemon, self.memory_mb, self.max_body_bytes = daemon, memory_mb, max_body_bytes
         self.max_descriptors, self.limits, self.version = max_descriptors, limits, 1
         self.extra_rules = ()  # Names of rules that no request of the tests matches.
+        self.tenants = ()  # Names of tenants with a quota.
+        self.error_output = None  # Standard error of the nodes; None: as standard output.
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="guavatrail-memory-"))
         net = 16 + os.getpid() % 200
         self.nodes = [Node(1, "encomendas", net), Node(2, "catalogo", net)]
@@ -83,7 +87,7 @@
         for node in self.nodes:
             log = open(self.dir / f"{node.name}.log", "wb")
             node.process = subprocess.Popen([self.daemon, "--settings", self.settings_of(node)],
-                                            stdout=log, stderr=log)
+                                            stdout=log, stderr=self.error_output or log)
             log.close()
 
     async def start_stand_ins(self):
@@ -99,7 +103,7 @@
     async def put_config(self):
         await self.store.put("config", "main",
                              config(self.max_body_bytes, self.version, self.limits,
-                                    self.extra_rules))
+                                    self.extra_rules, self.tenants))
 
     def change_config(self):
         self.version += 1
