Send messages of the protobuf library to the log

Callers saw: a node that answers nothing any more while clients of the peer port send messages with text that is not valid UTF-8, if nobody reads the standard error of its process. Cause: the library writes a line to standard error for each such message, and the write blocks the event loop. Change: its messages go to the log, which limits lines and does not block.

--- a/apps/guavatraild.cc
+++ b/apps/guavatraild.cc
@@ -1,5 +1,6 @@
 // The node daemon: one process beside each backend server.
 #include <glog/logging.h>
+#include <google/protobuf/stubs/logging.h>
 #include <malloc.h>
 #include <sodium.h>
 #include <tclap/CmdLine.h>
@@ -8,6 +9,7 @@
 #include <csignal>
 #include <iostream>
 #include <optional>
+#include <string>
 
 #include "event_loop.h"
 #include "log_output.h"
@@ -21,6 +23,7 @@
 constexpr int kExitRefused = 1;
 constexpr int kExitUsage = 2;
 constexpr int kMapThresholdBytes = 131'072;
+constexpr int kLogPeriodS = 10;
 
 struct Arguments {
   std::string settings_file;
@@ -55,8 +58,15 @@
   return kExitDone;
 }
 
+// By default the library writes to standard error, and the process would hang if nobody reads it.
+void LogProtobufMessage(google::protobuf::LogLevel /*level*/, const char* /*file*/, int /*line*/,
+                        const std::string& message) {
+  LOG_EVERY_T(WARNING, kLogPeriodS) << "event=protobuf_message text=\"" << message << "\"";
+}
+
 void StartLogging(const guavatrail::LogSettings& log) {
   google::InitGoogleLogging("guavatraild");
+  google::protobuf::SetLogHandler(LogProtobufMessage);
   FLAGS_minloglevel = static_cast<int>(log.level);
   if (!log.directory.empty()) {
     FLAGS_log_dir = log.directory;
