Limit the names in messages about rollouts

Cause: a node keeps 64 versions of which it has heard, and the work kinds of the last notice, of any length: clients of the peer port could have it keep 64 names as long as the largest body. Found by reading. Change: a version in a notice has at most 128 bytes, as in an order, and a work kind at most 63. Result: RolloutMessagesTest.NamesThatAreTooLongAreRefused passes; the longer names were accepted before.

--- a/src/rollout_codec.cc
+++ b/src/rollout_codec.cc
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 
+#include "config_table.h"
+
 namespace guavatrail {
 
 namespace {
@@ -79,11 +81,14 @@
   if (!Parse(bytes, message)) return Fail("bytes are no encoded RolloutNotice");
   std::optional<RolloutPhase> phase = ToPhase(message.phase());
   if (!phase) return Fail("rollout notice: phase is unknown");
-  if (message.target().empty()) return Fail("rollout notice: no target");
+  if (message.target().empty() || message.target().size() > kMaxVersionLength) {
+    return Fail("rollout notice: target is empty or too long");
+  }
   if (message.slow_limits_size() > kMaxKinds) return Fail("rollout notice: too many slow_limits");
   RolloutNotice notice{.service = message.service(), .progress = {message.target(), *phase}};
   for (const pb::RolloutSlowLimit& limit : message.slow_limits()) {
     if (limit.limit_us() <= 0) return Fail("rollout notice: limit_us is not positive");
+    if (limit.kind().size() > kMaxNameLength) return Fail("rollout notice: kind is too long");
     notice.slow_limits[limit.kind()] = limit.limit_us();
   }
   return notice;
--- a/src/rollout_state.h
+++ b/src/rollout_state.h
@@ -3,6 +3,7 @@
 // Performs no I/O.
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,6 +12,9 @@
 
 namespace guavatrail {
 
+// Of the name of a server version, in bytes.
+inline constexpr size_t kMaxVersionLength = 128;
+
 // The values are sent between nodes.
 enum class RolloutPhase {
   kRunning = 1,     // The version gets a small share of the calls.
--- a/test/error/rollout_messages_test.cc
+++ b/test/error/rollout_messages_test.cc
@@ -2,6 +2,7 @@
 // which no node can have.
 #include <gtest/gtest.h>
 
+#include "config_table.h"
 #include "random_source.h"
 #include "rollout_codec.h"
 
@@ -65,6 +66,18 @@
   EXPECT_FALSE(DecodeReport(report.SerializeAsString()));
 }
 
+// A node keeps the versions of which it has heard, and the limits of the work kinds.
+TEST(RolloutMessagesTest, NamesThatAreTooLongAreRefused) {
+  auto notice = [](size_t target, size_t kind) {
+    return EncodeNotice({"catalogo",
+                         {std::string(target, 'v'), RolloutPhase::kRunning},
+                         {{std::string(kind, 'k'), 5'000}}});
+  };
+  EXPECT_TRUE(DecodeNotice(notice(kMaxVersionLength, kMaxNameLength)));
+  EXPECT_FALSE(DecodeNotice(notice(kMaxVersionLength + 1, kMaxNameLength)));
+  EXPECT_FALSE(DecodeNotice(notice(kMaxVersionLength, kMaxNameLength + 1)));
+}
+
 TEST(RolloutMessagesTest, MutatedBytesAreReadOrRefused) {
   RandomSource random(5);
   std::string report = EncodeReport(MakeReport());
