Count requests that are too large, and stalled connections of the admin port

Change: HttpListener::SetMetrics names the port for both counters, and requests_too_large_total is new.

--- a/src/admin_server.h
+++ b/src/admin_server.h
@@ -45,6 +45,7 @@
   void SetPortLimits(const PortLimits& limits) { m_listener.SetPortLimits(limits); }
   // See HttpListener.
   void SetMemory(std::shared_ptr<RequestMemory> memory) { m_listener.SetMemory(std::move(memory)); }
+  void SetMetrics(Metrics& metrics) { m_listener.SetMetrics(metrics, "admin"); }
 
   tl::expected<void, AdminError> Listen(const std::string& ip, uint16_t port);
 
--- a/src/downstream_connection.cc
+++ b/src/downstream_connection.cc
@@ -278,6 +278,7 @@
 void DownstreamConnection::Refuse(int status, std::string_view reason) {
   m_refusal = status;
   m_refusal_reason = reason;
+  m_listener.CountRefusal(status);
   m_timer.Cancel();
   NarrowWindow();
   m_body_parts.Clear();
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -79,7 +79,7 @@
       m_quota_refusals(metrics),
       m_deferred(loop) {
   m_listener.SetPortLimits(BudgetOf(settings).caller);
-  m_listener.SetStalledCounter(StalledCounterOf(metrics, "caller"));
+  m_listener.SetMetrics(metrics, "caller");
   m_listener.SetOverlapPredicate([this](const RequestTarget& t) { return MayOverlap(t); });
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
--- a/src/http_listener.cc
+++ b/src/http_listener.cc
@@ -96,9 +96,15 @@
   return {};
 }
 
-Counter& StalledCounterOf(Metrics& metrics, std::string_view port) {
-  return metrics.GetCounter("stalled_connections_closed_total",
-                            "port=\"" + std::string(port) + "\"");
+void HttpListener::SetMetrics(Metrics& metrics, std::string_view port) {
+  std::string label = "port=\"" + std::string(port) + "\"";
+  m_stalled_counter = &metrics.GetCounter("stalled_connections_closed_total", label);
+  m_too_large_counter = &metrics.GetCounter("requests_too_large_total", label);
+}
+
+void HttpListener::CountRefusal(int status) {
+  bool is_too_large = status == kHttpContentTooLarge || status == kHttpHeadersTooLarge;
+  if (is_too_large && m_too_large_counter != nullptr) m_too_large_counter->Add();
 }
 
 void HttpListener::StopAccepting() { m_listener.reset(); }
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -77,9 +77,10 @@
   void StopAccepting();
   // Must be called before Listen().
   void SetPortLimits(const PortLimits& limits);
-  // From now on counts the connections that are closed because the port is full and their clients
-  // delay their requests or answers. The counter must outlive the listener.
-  void SetStalledCounter(Counter& counter) { m_stalled_counter = &counter; }
+  // From now on counts, under the name of the port, the connections that are closed because the
+  // port is full and their clients delay them, and the requests whose head or body is too large.
+  // The metrics must outlive the listener.
+  void SetMetrics(Metrics& metrics, std::string_view port);
   // From now on keeps at most `connections` open. Near the limit, a connection is closed after its
   // next answer; at the limit, idle connections are closed to make room for new ones, and if none
   // is idle, those whose clients delay their requests or answers. If there are none either, new
@@ -111,6 +112,7 @@
   bool MayOverlap(const HttpHead& head) const;
   void CloseLongestIdle();
   void GiveUpLongestStalled();
+  void CountRefusal(int status);
   void UpdateAccepting();
 
   struct ListenerDeleter {
@@ -140,12 +142,10 @@
   uint64_t m_idle_closed = 0;
   uint64_t m_stalled_closed = 0;
   Counter* m_stalled_counter = nullptr;
+  Counter* m_too_large_counter = nullptr;
   // Times of the last log lines about failures and about the limit.
   int64_t m_failure_log_us = 0;
   int64_t m_full_log_us = 0;
 };
 
-// The counter for HttpListener::SetStalledCounter() of the port with this name.
-Counter& StalledCounterOf(Metrics& metrics, std::string_view port);
-
 }  // namespace guavatrail
--- a/src/node.cc
+++ b/src/node.cc
@@ -79,6 +79,7 @@
     entry.SetMemory(memory);
     admin.SetPortLimits(BudgetOf(settings).service);
     admin.SetMemory(memory);
+    admin.SetMetrics(metrics);
     serving.SetLocalBodies(local_bodies);
     entry.SetLocalBodies(local_bodies);
   }
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -91,7 +91,7 @@
       m_gate_timer(loop, [this] { RefuseQueue(); }),
       m_deferred(loop) {
   m_listener.SetPortLimits(BudgetOf(settings).peer);
-  m_listener.SetStalledCounter(StalledCounterOf(metrics, "peer"));
+  m_listener.SetMetrics(metrics, "peer");
   m_replies.SetEmptyHandler([this] { CheckIdle(); });
 }
 
--- a/test/error/stalled_connections_make_room_test.cc
+++ b/test/error/stalled_connections_make_room_test.cc
@@ -25,7 +25,7 @@
   void SetUp() override {
     ASSERT_TRUE(m_listener.Listen("127.0.0.1", 0));
     m_listener.SetMaxConnections(kMaxConnections);
-    m_listener.SetStalledCounter(m_counter);
+    m_listener.SetMetrics(m_metrics, "test");
   }
 
   void FillPort(const std::string& text) {
@@ -37,7 +37,8 @@
   }
 
   EventLoop m_loop;
-  Counter m_counter;
+  Metrics m_metrics;
+  Counter& m_counter = m_metrics.GetCounter("stalled_connections_closed_total", "port=\"test\"");
   std::vector<std::unique_ptr<DownstreamRequest>> m_requests;
   HttpListener m_listener{m_loop, [this](auto r) { m_requests.push_back(std::move(r)); }};
   std::vector<std::unique_ptr<FakeClient>> m_clients;
