Ignore SIGPIPE wherever an event loop runs

Cause: libevent writes without MSG_NOSIGNAL. guavatraild ignored the signal itself, but a program that embeds the library did not, and ended when a client closed a connection to the control port, which libevent writes to now (ControlTransportErrors.FarOversizedMessageClosesOnlyItsConnection, one run of all tests in parallel). Change: EventLoop ignores SIGPIPE for the process.

--- a/apps/guavatraild.cc
+++ b/apps/guavatraild.cc
@@ -146,7 +146,6 @@
     std::cerr << "guavatraild: libsodium cannot be initialized\n";
     return kExitRefused;
   }
-  std::signal(SIGPIPE, SIG_IGN);
   // The allocator would raise this threshold after the first large block is freed, and would then
   // keep the memory of freed bodies. A fixed one returns it to the system at once.
   mallopt(M_MMAP_THRESHOLD, kMapThresholdBytes);
--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <csignal>
 #include <ctime>
 
 namespace guavatrail {
@@ -15,6 +16,9 @@
 };
 
 EventLoop::EventLoop() {
+  // libevent writes without MSG_NOSIGNAL. A connection that its peer has closed must not end the
+  // process.
+  std::signal(SIGPIPE, SIG_IGN);
   event_config* config = event_config_new();
   CHECK(config != nullptr) << "event_config_new failed";
   // The coarse clock of the default configuration is off by up to 4 ms, which is more than the
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -13,7 +13,8 @@
 
 namespace guavatrail {
 
-// Owns one libevent base. Not thread-safe: everything runs on the thread that calls Run().
+// Owns one libevent base. Not thread-safe: everything runs on the thread that calls Run(). The
+// process ignores SIGPIPE from the creation of the first one on.
 class EventLoop {
  public:
   EventLoop();
