Share the options of keep-alive probes, and name what reads oddly in the guard of the control port

Cause: the four options of keep-alive stood twice. PendingReplies::ReplyWithin did not say what it decides. Change: SetKeepAlive; ReplyIfItFits; no behaviour changes.

--- a/src/admin_server.cc
+++ b/src/admin_server.cc
@@ -55,7 +55,7 @@
   std::string_view path = request->path();
   if (path == "/metrics") {
     const HeaderList headers = {{"Content-Type", "text/plain; version=0.0.4"}};
-    m_replies.ReplyWithin(std::move(request), headers, m_callbacks.metrics_text());
+    m_replies.ReplyIfItFits(std::move(request), headers, m_callbacks.metrics_text());
   } else if (path == "/v1/status") {
     ReplyJson(std::move(request), kHttpOk, m_callbacks.status());
   } else if (path == "/v1/members") {
--- a/src/config_relay_answers.cc
+++ b/src/config_relay_answers.cc
@@ -95,7 +95,7 @@
   }
   headers.emplace_back(kChangeDigestHeader, m_digest);
   request->BypassPacing();
-  m_replies.ReplyWithin(std::move(request), headers, *change);
+  m_replies.ReplyIfItFits(std::move(request), headers, *change);
 }
 
 // Sends the whole table, or refers the requester to another node while other tables are being sent.
@@ -107,7 +107,7 @@
   if (std::holds_alternative<TableReferrals::SendTable>(answer)) {
     m_referrals.OnTransferStarted(bytes);
     request->BypassPacing();
-    m_replies.ReplyWithin(
+    m_replies.ReplyIfItFits(
         std::move(request), headers, m_encoded,
         [this, bytes, node = std::string(requester), sent = version()](bool written) {
           m_referrals.OnTransferEnded(bytes);
--- a/src/control_port_guard.cc
+++ b/src/control_port_guard.cc
@@ -24,11 +24,8 @@
 
 namespace {
 
-// TCP keep-alive detects connections of nodes that vanished without closing them: 60 s idle, then 3
-// probes 10 s apart.
-constexpr int kKeepAliveIdleS = 60;
-constexpr int kKeepAliveIntervalS = 10;
-constexpr int kKeepAliveProbes = 3;
+// Connections of nodes that vanished would otherwise stay open.
+constexpr KeepAlive kKeepAlive = {.idle_s = 60, .interval_s = 10, .probes = 3};
 // The window of a connection cannot become wider later. Nodes send up to 900 KB at once.
 constexpr int kReceiveBytes = 65'536;
 // Bytes that are held for a side that does not take them; then the other side is not read.
@@ -45,13 +42,6 @@
 constexpr std::string_view kNoRoom = "no_room";
 constexpr std::string_view kClosed = "closed";
 
-void SetKeepAlive(int fd) {
-  SetSocketOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
-  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
-  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-}
-
 std::string AddressText(const sockaddr* address) {
   char text[INET_ADDRSTRLEN] = "";
   const auto* ip = reinterpret_cast<const sockaddr_in*>(address);
@@ -83,8 +73,8 @@
       : m_guard(guard),
         m_address(std::move(address)),
         m_accepted_us(EventLoop::NowUs()),
-        m_client(Wrap(fd)),
-        m_server(Wrap(-1)),
+        m_client(OpenSide(fd)),
+        m_server(OpenSide(-1)),
         m_timer(guard.m_loop, [this] { OnTimer(); }) {
     // The rest of what a client sends beyond a handshake is never read.
     bufferevent_setwatermark(m_client, EV_READ, 0, CurveHandshake::kMaxClientBytes + 1);
@@ -121,7 +111,7 @@
   const std::string& address() const { return m_address; }
 
  private:
-  bufferevent* Wrap(int fd) {
+  bufferevent* OpenSide(int fd) {
     bufferevent* bev = bufferevent_socket_new(m_guard.m_loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     CHECK(bev != nullptr) << "bufferevent_socket_new failed";
     bufferevent_setcb(
@@ -273,7 +263,7 @@
 void ControlPortGuard::Accept(int fd, std::string address) {
   m_loop.BeginCallback(LoopWork::kAccept);
   DisableNagle(fd);
-  SetKeepAlive(fd);
+  SetKeepAlive(fd, kKeepAlive);
   auto owned = std::make_unique<Connection>(*this, fd, std::move(address));
   Connection& connection = *owned;
   m_connections[&connection] = std::move(owned);
--- a/src/endpoint_relay.cc
+++ b/src/endpoint_relay.cc
@@ -92,7 +92,7 @@
     return;
   }
   request->BypassPacing();
-  m_replies.ReplyWithin(std::move(request), {}, EncodeEndpoints(*update));
+  m_replies.ReplyIfItFits(std::move(request), {}, EncodeEndpoints(*update));
 }
 
 }  // namespace guavatrail
--- a/src/pending_replies.cc
+++ b/src/pending_replies.cc
@@ -28,9 +28,9 @@
   raw->Reply(status, headers, body);
 }
 
-void PendingReplies::ReplyWithin(std::unique_ptr<DownstreamRequest> request,
-                                 const HeaderList& headers, std::string_view body,
-                                 std::function<void(bool)> ended) {
+void PendingReplies::ReplyIfItFits(std::unique_ptr<DownstreamRequest> request,
+                                   const HeaderList& headers, std::string_view body,
+                                   std::function<void(bool)> ended) {
   if (request->MakeRoomFor(body.size())) {
     Reply(std::move(request), kHttpOk, headers, body, std::move(ended));
     return;
--- a/src/pending_replies.h
+++ b/src/pending_replies.h
@@ -24,8 +24,8 @@
              std::string_view body = "", std::function<void(bool written)> ended = nullptr);
   // As Reply, with status 200 and a body that may be large. Sends a refusal instead if the body
   // does not fit in the memory of the process; `ended` is then called with false.
-  void ReplyWithin(std::unique_ptr<DownstreamRequest> request, const HeaderList& headers,
-                   std::string_view body, std::function<void(bool written)> ended = nullptr);
+  void ReplyIfItFits(std::unique_ptr<DownstreamRequest> request, const HeaderList& headers,
+                     std::string_view body, std::function<void(bool written)> ended = nullptr);
   bool empty() const { return m_requests.empty(); }
   // The handler is called whenever the last pending reply has ended.
   void SetEmptyHandler(std::function<void()> handler) { m_on_empty = std::move(handler); }
--- a/src/quota_exchange.cc
+++ b/src/quota_exchange.cc
@@ -170,7 +170,7 @@
   m_handled.Add();
   QuotaReply reply = m_ledger.OnReport(*report, EventLoop::NowUs());
   m_limited.Set(static_cast<double>(m_ledger.limited()));
-  m_replies.ReplyWithin(std::move(request), {}, EncodeQuotaReply(reply));
+  m_replies.ReplyIfItFits(std::move(request), {}, EncodeQuotaReply(reply));
 }
 
 }  // namespace guavatrail
--- a/src/socket_options.h
+++ b/src/socket_options.h
@@ -8,6 +8,13 @@
 // Errors are ignored: the options only improve how a socket behaves, and requests work without
 // them.
 void SetSocketOption(evutil_socket_t fd, int level, int option, int value);
+// How TCP detects a peer that has vanished without closing the connection.
+struct KeepAlive {
+  int idle_s;      // Time without bytes before the first probe.
+  int interval_s;  // Between two probes.
+  int probes;      // Without an answer, after which the connection is closed.
+};
+void SetKeepAlive(evutil_socket_t fd, const KeepAlive& options);
 // Without Nagle's algorithm, which delays later writes until the first one is acknowledged.
 void DisableNagle(evutil_socket_t fd);
 // Bounds the bytes that the kernel takes beyond those on their way to the peer. Without the limit
--- a/src/suspect_relay.cc
+++ b/src/suspect_relay.cc
@@ -118,7 +118,7 @@
   Learn(*request->body(), source);
   std::string body = Encode(m_blame.Suspects(EventLoop::NowUs()));
   request->BypassPacing();
-  m_replies.ReplyWithin(std::move(request), {}, body);
+  m_replies.ReplyIfItFits(std::move(request), {}, body);
 }
 
 void SuspectRelay::Learn(std::string_view bytes, std::string_view source) {
--- a/src/upstream_socket.cc
+++ b/src/upstream_socket.cc
@@ -16,19 +16,14 @@
 namespace {
 
 // TCP detects a dead connection within about 3 s, by keep-alive probes or unacknowledged data.
-constexpr int kKeepAliveIdleS = 1;
-constexpr int kKeepAliveIntervalS = 1;
-constexpr int kKeepAliveProbes = 2;
+constexpr KeepAlive kKeepAlive = {.idle_s = 1, .interval_s = 1, .probes = 2};
 constexpr unsigned kUserTimeoutMs = 3'000;
 // Bytes of a request that the kernel takes beyond what is on its way.
 constexpr int kKernelUnsentBytes = 131'072;
 
 void PrepareSocket(evutil_socket_t fd) {
   DisableNagle(fd);
-  SetSocketOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
-  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
-  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetKeepAlive(fd, kKeepAlive);
   SetSocketOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
   LimitUnsentBytes(fd, kKernelUnsentBytes);
 }
--- a/test/error/forged_work_kinds_test.cc
+++ b/test/error/forged_work_kinds_test.cc
@@ -1,7 +1,5 @@
 // Guards against clients of the peer port that make the process keep each name of a work kind that
 // they make up.
-#include <algorithm>
-
 #include "serving_fixture.h"
 #include "work_tag.h"
 
@@ -35,7 +33,7 @@
 }
 
 TEST_F(ForgedWorkKinds, NameThatNoConfigurationAllowsIsNotUsed) {
-  for (std::string name : {std::string(64, 'x'), std::string("a\"b"), std::string("A b")}) {
+  for (const std::string& name : {std::string(64, 'x'), std::string("a\"b"), std::string("A b")}) {
     EXPECT_FALSE(ParseWorkTag(name + ";importance=1;short;repeatable")) << name;
   }
   EXPECT_TRUE(ParseWorkTag(std::string(63, 'x') + ";importance=1;short;repeatable"));
