Split the entry and the serving proxy by concern

Change: the handling of results moves to entry_proxy_results.cc, the exchange with the backend server to serving_proxy_exchange.cc. Functions are moved as they are.

--- /dev/null
+++ b/src/serving_proxy_exchange.cc
@@ -0,0 +1,251 @@
+// The part of ServingProxy that sends requests to the backend server and streams its answers.
+#include <event2/buffer.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+
+#include "request_fingerprint.h"
+#include "serving_call.h"
+#include "serving_proxy.h"
+
+namespace guavatrail {
+
+namespace {
+
+constexpr int64_t kUsPerMs = 1000;
+// The server may close an idle connection at the moment a request is written. Work that must not be
+// repeated reuses only connections idle for less than this time.
+constexpr std::chrono::milliseconds kNonRepeatableMaxIdle{1'000};
+constexpr std::chrono::milliseconds kDefaultMaxIdle{60'000};
+// An answer that has begun may take any time, unless no bytes arrive for this long.
+constexpr std::chrono::milliseconds kStreamIdleTimeout{30'000};
+// An answer without a Content-Length may be endless. It is aborted this long after the deadline,
+// when the caller no longer waits.
+constexpr std::chrono::milliseconds kOpenEndedGracePeriod{5'000};
+// The head of a refusal is sufficient. Its body is awaited for this long, so that the connection
+// can be reused.
+constexpr std::chrono::milliseconds kRefusalBodyTimeout{100};
+// Keyed orders may run for this long after the entry node was sent an unknown outcome or
+// disconnected, so that a repeated request with the same key gets the outcome.
+constexpr std::chrono::milliseconds kOrderGracePeriod{30'000};
+
+}  // namespace
+
+void ServingProxy::Run(Call& call) {
+  // The request may have been quarantined while it was queued.
+  if (auto left_ms = QuarantineLeftMs(m_blame, *call.downstream)) {
+    Refuse(call, *left_ms, kReasonQuarantined);
+    Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+    return;
+  }
+  call.phase = Call::Phase::kRunning;
+  call.start_us = EventLoop::NowUs();
+  call.server = m_gate.server;
+  m_metrics.GetHistogram("serving_queue_wait_us")
+      .Record(call.start_us - call.downstream->arrival_us());
+  Send(call, call.work.mode == RunMode::kRepeatable ? kDefaultMaxIdle : kNonRepeatableMaxIdle);
+}
+
+void ServingProxy::Send(Call& call, std::chrono::milliseconds max_idle) {
+  UpstreamRequest request{.method = call.downstream->method(),
+                          .uri = call.downstream->target(),
+                          .headers = ServerHeaders(call),
+                          .body = call.downstream->body(),
+                          .max_idle = max_idle};
+  const std::string& id_header = m_protocol.request_id_header;
+  if (const std::string* id = FindHeader(request.headers, id_header); id != nullptr) {
+    request.id_header = id_header;
+    request.id = *id;
+  }
+  call.exchange = m_pool.Send(std::move(request),
+                              {.head = [this, &call](const AnswerHead& h) { OnHead(call, h); },
+                               .data = [this, &call](evbuffer* d) { OnData(call, d); },
+                               .done = [this, &call](ExchangeResult e) { OnDone(call, e); }});
+}
+
+void ServingProxy::OnHead(Call& call, const AnswerHead& head) {
+  call.server_status = head.status;
+  OnServerNotice(call, head);
+  if (IsRefusal(head)) {
+    call.refusal = head.status == kHttpMisdirected ? kReasonWrongServer : kReasonServerFull;
+    call.timer.Start(kRefusalBodyTimeout);
+    return;
+  }
+  HeaderList headers = head.headers;
+  RemoveNodeHeaders(headers);
+  int64_t server_us = EventLoop::NowUs() - call.start_us;
+  std::string kind(m_kind_labels.Of(call.work.name));
+  m_metrics.GetHistogram("server_answer_us", "kind=\"" + kind + "\"").Record(server_us);
+  if (call.is_keyed()) call.answer = {head.status, headers, ""};
+  if (!call.is_attached()) return;
+  call.has_unknown_length = !head.content_length && head.framing != BodyFraming::kNone;
+  call.timer.Start(std::chrono::microseconds(StreamTimeoutUs(call)));
+  for (auto& [name, value] : NodeHeaders(kOutcomeAnswered, call.request_id)) {
+    SetHeader(headers, name, value);
+  }
+  SetHeader(headers, kServerTimeHeader, std::to_string(server_us));
+  SetHeader(headers, kQueueTimeHeader,
+            std::to_string(call.start_us - call.downstream->arrival_us()));
+  call.relay.Begin(*call.exchange, head, headers);
+}
+
+void ServingProxy::OnData(Call& call, evbuffer* data) {
+  if (!call.refusal.empty()) {
+    evbuffer_drain(data, evbuffer_get_length(data));
+    return;
+  }
+  if (call.is_keyed() && call.is_storable) {
+    size_t length = evbuffer_get_length(data);
+    size_t old = call.answer.body.size();
+    call.is_storable = old + length <= m_orders.ledger().limits().answer_bytes;
+    if (call.is_storable) {
+      call.answer.body.resize(old + length);
+      evbuffer_copyout(data, call.answer.body.data() + old, length);
+    }
+  }
+  if (call.is_attached()) {
+    call.relay.Data(data);
+  } else {
+    evbuffer_drain(data, evbuffer_get_length(data));
+  }
+}
+
+void ServingProxy::OnDone(Call& call, ExchangeResult result) {
+  RecordServerResult(call, result);
+  if (result == ExchangeResult::kBroken) OnBrokenOff(call);
+  if (result == ExchangeResult::kComplete) OnServerAnswer(call);
+  if (!call.refusal.empty()) {
+    OnServerRefusal(call);
+    return;
+  }
+  // A request that may have reached the server is sent again here only if it is repeatable and the
+  // protocol allows it. Otherwise the entry node decides whether it may reach a server twice.
+  bool is_safe = result == ExchangeResult::kNotSent ||
+                 (call.work.mode == RunMode::kRepeatable && m_protocol.retries_after_close);
+  call.may_have_been_sent = call.may_have_been_sent || result == ExchangeResult::kBroken;
+  if (result != ExchangeResult::kComplete && is_safe && !call.is_retry && !call.relay.has_begun() &&
+      call.is_attached()) {
+    // The server may have closed an idle connection at the moment the request was written.
+    call.is_retry = true;
+    if (call.may_have_been_sent) RateLimitOf(m_admission).OnSent(EventLoop::NowUs());
+    Send(call, std::chrono::milliseconds(0));
+    return;
+  }
+  call.phase = Call::Phase::kEnded;
+  call.timer.Cancel();
+  int64_t now_us = EventLoop::NowUs();
+  if (call.is_keyed()) FinishOrder(call, result);
+  if (call.relay.has_begun()) {
+    if (result == ExchangeResult::kComplete) {
+      m_answer_sizes.Add(call.work.name, call.relay.body_bytes());
+    }
+    LogEnd(call, kOutcomeAnswered, result == ExchangeResult::kComplete ? "none" : "broken");
+    if (call.is_attached()) call.relay.End(result);
+  } else if (!call.may_have_been_sent) {
+    AnswerNotRun(call, kReasonUnreachable, kDrainRetryAfterMs);
+    if (m_observer.on_unreachable) m_observer.on_unreachable(call.server.id);
+  } else {
+    AnswerUnknown(call, kHttpBadGateway);
+  }
+  Apply(result == ExchangeResult::kComplete
+            ? Finish(m_admission, call.id, now_us - call.start_us, now_us)
+            : Cancel(m_admission, call.id, now_us));
+  ReportLoad();
+  RemoveIfEnded(call);
+}
+
+void ServingProxy::FinishOrder(Call& call, ExchangeResult result) {
+  OrderLedger& ledger = m_orders.ledger();
+  if (result == ExchangeResult::kNotSent) {
+    ledger.FinishNotRun(call.serial);
+  } else if (result == ExchangeResult::kBroken) {
+    ledger.FinishUnknown(call.serial);
+  } else if (call.is_storable) {
+    ledger.FinishAnswered(call.serial, std::move(call.answer));
+  } else {
+    ledger.FinishUnstored(call.serial, call.answer.status);
+  }
+}
+
+// Time until the next check of an answer that has begun; 0 if it is open-ended and its grace
+// period is over.
+int64_t ServingProxy::StreamTimeoutUs(const Call& call) {
+  int64_t idle_us = kStreamIdleTimeout.count() * kUsPerMs;
+  if (!call.has_unknown_length) return idle_us;
+  int64_t end_us = call.deadline_us + kOpenEndedGracePeriod.count() * kUsPerMs;
+  return std::clamp<int64_t>(end_us - EventLoop::NowUs(), 0, idle_us);
+}
+
+// Called at the deadline, at the periodic check of a streamed answer, and when the time for the
+// body of a refusal or the grace period of an order is over.
+void ServingProxy::OnTimer(Call& call) {
+  if (call.phase == Call::Phase::kQueued) {
+    Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+    Refuse(call, kDrainRetryAfterMs, kReasonOverload);
+    return;
+  }
+  if (!call.refusal.empty()) {
+    call.exchange.reset();
+    OnServerRefusal(call);
+    return;
+  }
+  bool is_streaming = call.relay.has_begun() && call.is_attached();
+  int64_t idle_us = EventLoop::NowUs() - call.exchange->last_activity_us();
+  bool is_alive = call.exchange->is_paused() || idle_us < kStreamIdleTimeout.count() * kUsPerMs;
+  if (is_streaming && is_alive && StreamTimeoutUs(call) > 0) {
+    call.timer.Start(std::chrono::microseconds(StreamTimeoutUs(call)));
+    return;
+  }
+  bool runs_on = call.is_keyed() && call.exchange->may_have_been_sent();
+  if (is_streaming || call.runs_detached || !runs_on) {
+    Abort(call, AbortCause::kServerTimeout);
+    return;
+  }
+  call.timer.Start(kOrderGracePeriod);
+  AnswerUnknown(call, kHttpGatewayTimeout);
+  call.runs_detached = true;
+}
+
+// Aborts a running call. Closing its connection cancels it at the server.
+void ServingProxy::Abort(Call& call, AbortCause cause) {
+  if (call.phase != Call::Phase::kRunning) return;
+  call.phase = Call::Phase::kEnded;
+  call.timer.Cancel();
+  bool not_run = !call.may_have_been_sent && !call.exchange->may_have_been_sent();
+  bool is_overdue = cause == AbortCause::kServerTimeout;
+  if (is_overdue && !not_run) RecordTimeout(call);
+  call.exchange.reset();
+  if (call.is_keyed())
+    FinishOrder(call, not_run ? ExchangeResult::kNotSent : ExchangeResult::kBroken);
+  if (call.relay.has_begun()) {
+    if (call.is_attached()) call.relay.End(ExchangeResult::kBroken);
+  } else if (not_run) {
+    AnswerNotRun(call, kReasonOverload, kDrainRetryAfterMs);
+  } else {
+    AnswerUnknown(call, kHttpGatewayTimeout);
+  }
+  Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+  ReportLoad();
+  RemoveIfEnded(call);
+}
+
+void ServingProxy::OnDownstreamEnd(Call& call, bool written) {
+  if (!written && call.phase == Call::Phase::kQueued) {
+    call.phase = Call::Phase::kEnded;
+    if (call.is_keyed()) m_orders.ledger().FinishNotRun(call.serial);
+    Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
+    ReportLoad();
+  } else if (!written && call.phase == Call::Phase::kRunning) {
+    if (call.is_keyed()) {
+      // The order continues, so that a repeated request with its key gets the answer.
+      call.exchange->ResumeReading();
+      if (!call.runs_detached) call.timer.Start(kOrderGracePeriod);
+      call.runs_detached = true;
+    } else {
+      Abort(call, AbortCause::kDownstreamClosed);
+    }
+  }
+  RemoveIfEnded(call);
+}
+
+}  // namespace guavatrail
