End answers that are not complete at the timeout of their route

Cause: timers meant the time to the head of an answer. At the head the entry node cancelled its timer, and the serving node replaced its own by a check for 30 s without bytes, so that a byte now and then kept an answer without limit. Change: the deadline of the work kind bounds the whole answer, from the arrival of the request, over all attempts. The entry node ends the answer visibly (a close, or a reset for HTTP/1.0); the serving node, which gets the time left in X-Guavatrail-Timeout-Ms, does so 100 ms later if the entry node is hung. Either closes the connection to the server and frees its slot. The checks for 30 s without bytes and 5 s past the deadline are removed: the first would end an answer for its silence before a longer timeout. New reasons answer_timeout and caller_slow in the log, counters answers_timed_out_total and serving_answers_timed_out_total. Why it works: both nodes keep a timer until the answer is complete, whatever arrives. An answer that the entry node has received completely is delivered, and a caller's shorter deadline does not end an answer that has begun.

--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -69,7 +69,8 @@
   // Whether the configuration has workspaces, so that the headers of the caller that concern them
   // are not forwarded.
   bool has_workspaces = false;
-  int64_t deadline_us = 0;
+  int64_t deadline_us = 0;  // Of the caller, at most timeout_us: until then the answer must begin.
+  int64_t timeout_us = 0;   // Of the work kind: until then the answer must be complete.
   std::optional<OrderKey> key;
   // Nodes that are not selected: those that were tried, except after a refused offer, and those
   // outside the shard of a contained request.
@@ -95,7 +96,7 @@
   StreamRelay relay;
   std::list<std::unique_ptr<EntryAttempt>> active_attempts;
   std::unique_ptr<HttpQuery> query;  // Fetches an order key or fences an order.
-  Timer deadline_timer;
+  Timer deadline_timer;              // Once the answer has begun, its timeout.
   Timer hedge_timer;
 };
 
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -213,6 +213,7 @@
   call.workspace = TagOf(workspace);
   call.has_workspaces = !table.workspaces().empty();
   call.deadline_us = deadline_us;
+  call.timeout_us = call.downstream->arrival_us() + kind.deadline_ms * kUsPerMs;
   call.downstream->SetEndHandler([this, &call](bool written) { OnDownstreamEnd(call, written); });
   int64_t now_us = EventLoop::NowUs();
   m_picker.SetEndpoints(m_view.endpoints(), now_us);
@@ -222,8 +223,7 @@
     AnswerNotRun(call, kDefaultRetryAfterMs);
     return;
   }
-  call.deadline_timer.Start(
-      std::chrono::microseconds(deadline_us - now_us + kDeadlineGraceMs * kUsPerMs));
+  StartDeadlineTimer(call, deadline_us);
   if (mode == RunMode::kKeyed) {
     StartKeyedCall(call);
   } else {
@@ -231,6 +231,11 @@
   }
 }
 
+void EntryProxy::StartDeadlineTimer(EntryCall& call, int64_t end_us) {
+  int64_t left_us = std::max<int64_t>(0, end_us - EventLoop::NowUs());
+  call.deadline_timer.Start(std::chrono::microseconds(left_us + kDeadlineGraceMs * kUsPerMs));
+}
+
 void EntryProxy::LimitToShard(EntryCall& call) {
   int64_t now_us = EventLoop::NowUs();
   if (m_containment == nullptr || !m_containment->IsActive(now_us)) return;
@@ -244,7 +249,7 @@
   // A disconnected caller cancels the call, except for a keyed order, which its serving node
   // continues to run.
   if (!written && !call.is_recorded) {
-    call.last_reason = "caller_left";
+    call.last_reason = kReasonCallerLeft;
     LogCall(call, CallOutcome::kIncomplete);
     call.is_recorded = true;
   }
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -98,11 +98,13 @@
   void StartCall(std::unique_ptr<DownstreamRequest> request, const ConfigTable& table,
                  const Route& route, const WorkKind& kind, const Workspace* workspace,
                  int64_t deadline_us);
+  static void StartDeadlineTimer(EntryCall& call, int64_t end_us);
   bool IsAboveQuota(std::unique_ptr<DownstreamRequest>& request, const Workspace* workspace);
   void ReturnQuota(EntryCall& call);
   void LimitToShard(EntryCall& call);
   void OnDownstreamEnd(EntryCall& call, bool written);
   void OnDeadline(EntryCall& call);
+  void EndAnswerAtTimeout(EntryCall& call);
 
   // Attempts on serving nodes.
   bool StartAttempt(EntryCall& call, const Endpoint* server, bool is_offer);
--- a/src/entry_proxy_attempts.cc
+++ b/src/entry_proxy_attempts.cc
@@ -139,6 +139,7 @@
   HeaderList headers = call.downstream->headers();
   RemoveNodeHeaders(headers);
   SetHeader(headers, kDeadlineHeader, FormatDeadlineMs(call.deadline_us, EventLoop::NowUs()));
+  SetHeader(headers, kTimeoutHeader, FormatDeadlineMs(call.timeout_us, EventLoop::NowUs()));
   SetHeader(headers, kWorkHeader, FormatWorkTag(call.work));
   SetHeader(headers, kServiceHeader, call.service);
   if (is_offer) SetHeader(headers, kOfferHeader, "1");
--- a/src/entry_proxy_results.cc
+++ b/src/entry_proxy_results.cc
@@ -62,7 +62,7 @@
   }
   call.status = head.status;
   call.is_late = now_us > call.deadline_us;
-  call.deadline_timer.Cancel();
+  StartDeadlineTimer(call, call.timeout_us);
   call.hedge_timer.Cancel();
   CancelOtherAttempts(call, &attempt);
   int64_t server_us = HeaderNumber(head.headers, kServerTimeHeader);
@@ -138,6 +138,8 @@
     m_picker.OnFailure(call.service, attempt.node, EventLoop::NowUs());
   if (was_relayed) {
     bool whole = result == ExchangeResult::kComplete;
+    // A complete answer is delivered, however slowly the caller reads it.
+    call.deadline_timer.Cancel();
     if (whole) m_answer_sizes.Add(call.work.name, call.relay.body_bytes());
     RecordOutcome(call, whole ? OutcomeOf(call.status, call.is_late) : CallOutcome::kIncomplete);
     call.relay.End(result);
@@ -197,6 +199,10 @@
 // The serving node sends its own answer at the deadline, so it is hung or unreachable if none has
 // arrived by the end of the grace period.
 void EntryProxy::OnDeadline(EntryCall& call) {
+  if (call.relay.has_begun()) {
+    EndAnswerAtTimeout(call);
+    return;
+  }
   if (call.is_answered) return;
   call.last_reason = "deadline";
   bool was_sent = !call.active_attempts.empty();
@@ -208,4 +214,17 @@
   }
 }
 
+// Closes the connection of the caller, who sees that the answer is incomplete. The end of the
+// request then closes the connection to the serving node, which cancels the request at the backend
+// server.
+void EntryProxy::EndAnswerAtTimeout(EntryCall& call) {
+  bool is_caller_slow = std::any_of(
+      call.active_attempts.begin(), call.active_attempts.end(),
+      [](const auto& attempt) { return !attempt->is_ended && attempt->peer->is_paused(); });
+  call.last_reason = is_caller_slow ? kReasonCallerSlow : kReasonAnswerTimeout;
+  m_metrics.GetCounter("answers_timed_out_total", "reason=\"" + call.last_reason + "\"").Add();
+  RecordOutcome(call, CallOutcome::kIncomplete);
+  call.relay.End(ExchangeResult::kBroken);
+}
+
 }  // namespace guavatrail
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -13,6 +13,9 @@
 
 inline constexpr char kRequestIdHeader[] = "X-Guavatrail-Request-Id";
 inline constexpr char kDeadlineHeader[] = "X-Guavatrail-Deadline-Ms";
+// Milliseconds left until the answer must be complete, which is not before the deadline. Absent:
+// the deadline.
+inline constexpr char kTimeoutHeader[] = "X-Guavatrail-Timeout-Ms";
 inline constexpr char kWorkHeader[] = "X-Guavatrail-Work";
 // Milliseconds left until the latency objective expires; absent: only the deadline applies.
 inline constexpr char kObjectiveHeader[] = "X-Guavatrail-Objective-Ms";
@@ -91,6 +94,11 @@
 // The request may have crashed backend servers, and this node must not run it now; see
 // crash_containment.h.
 inline constexpr char kReasonContained[] = "contained";
+// An answer that had begun was not complete at its timeout: the backend server had not sent all of
+// it, or the caller had not read it in time.
+inline constexpr char kReasonAnswerTimeout[] = "answer_timeout";
+inline constexpr char kReasonCallerSlow[] = "caller_slow";
+inline constexpr char kReasonCallerLeft[] = "caller_left";
 // The workspace is above its quota; see quota_enforcer.h.
 inline constexpr char kReasonQuota[] = "quota";
 // The request does not fit in the memory of the node; see memory_budget.h.
--- a/src/peer_call.h
+++ b/src/peer_call.h
@@ -36,6 +36,8 @@
   bool may_have_been_sent() const {
     return m_exchange != nullptr && m_exchange->may_have_been_sent();
   }
+  // Whether reading of the answer is paused.
+  bool is_paused() const { return m_exchange != nullptr && m_exchange->is_paused(); }
   // Whether the call failed because its connection had gone silent.
   bool was_silent() const { return m_was_silent; }
 
--- a/src/serving_call.h
+++ b/src/serving_call.h
@@ -48,9 +48,9 @@
   WorkTag work;
   WorkspaceTag workspace;
   Phase phase = Phase::kQueued;
-  int64_t deadline_us = 0;
+  int64_t deadline_us = 0;  // The answer must have begun by then.
+  int64_t timeout_us = 0;   // The answer must be complete by then.
   int64_t start_us = 0;
-  bool has_unknown_length = false;  // The answer has begun and has no Content-Length.
   // An order that runs on although its answer is no longer awaited: the entry node was sent an
   // unknown outcome or has disconnected.
   bool runs_detached = false;
@@ -62,7 +62,7 @@
   std::unique_ptr<DownstreamRequest> downstream;
   StreamRelay relay;
   std::unique_ptr<Exchange> exchange;
-  Timer timer;  // Deadline; while an answer is streamed, check for a stalled server.
+  Timer timer;  // Deadline; once the answer has begun, its timeout.
 };
 
 inline std::string RequestIdOf(const DownstreamRequest& request) {
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -141,6 +141,9 @@
   call.work = work;
   call.request_id = RequestIdOf(*call.downstream);
   call.deadline_us = DeadlineOf(*call.downstream);
+  call.timeout_us =
+      std::max(call.deadline_us,
+               DeadlineFromHeader(*call.downstream, kTimeoutHeader).value_or(call.deadline_us));
   if (!call.request_id.empty()) m_by_request_id[call.request_id] = &call;
   if (serial != 0) m_by_serial[serial] = &call;
   call.downstream->SetEndHandler([this, &call](bool written) { OnDownstreamEnd(call, written); });
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -169,7 +169,7 @@
   void OnData(Call& call, evbuffer* data);
   void OnDone(Call& call, ExchangeResult result);
   void OnTimer(Call& call);
-  static int64_t StreamTimeoutUs(const Call& call);
+  void OnAnswerTimeout(Call& call);
   void OnDownstreamEnd(Call& call, bool written);
   void FinishOrder(Call& call, ExchangeResult result);
   void AnswerNotRun(Call& call, std::string_view reason, int64_t retry_after_ms);
@@ -177,8 +177,13 @@
   void RecordServerResult(const Call& call, ExchangeResult result);
   void RecordTimeout(const Call& call);
   void ReportResult(const Call& call, bool is_failure) const;
-  // A timeout counts as a failure of the server; a disconnected entry node does not.
-  enum class AbortCause { kServerTimeout, kDownstreamClosed };
+  // A timeout counts as a failure of the server; a disconnected entry node or a caller that reads
+  // too slowly does not.
+  enum class AbortCause { kServerTimeout, kCallerSlow, kDownstreamClosed };
+  static AbortCause TimeoutCauseOf(const Call& call);
+  static AbortCause CloseCauseOf(const Call& call);
+  static std::string_view ReasonOf(AbortCause cause);
+  void CountTimeout(AbortCause cause);
   void Abort(Call& call, AbortCause cause);
   void RemoveIfEnded(Call& call);
   void LogEnd(const Call& call, std::string_view outcome, std::string_view reason) const;
--- a/src/serving_proxy_exchange.cc
+++ b/src/serving_proxy_exchange.cc
@@ -17,11 +17,8 @@
 // repeated reuses only connections idle for less than this time.
 constexpr std::chrono::milliseconds kNonRepeatableMaxIdle{1'000};
 constexpr std::chrono::milliseconds kDefaultMaxIdle{60'000};
-// An answer that has begun may take any time, unless no bytes arrive for this long.
-constexpr std::chrono::milliseconds kStreamIdleTimeout{30'000};
-// An answer without a Content-Length may be endless. It is aborted this long after the deadline,
-// when the caller no longer waits.
-constexpr std::chrono::milliseconds kOpenEndedGracePeriod{5'000};
+// The entry node ends an answer at its timeout. It has not done so if it is hung or unreachable.
+constexpr int64_t kAnswerTimeoutGraceMs = 100;
 // The head of a refusal is sufficient. Its body is awaited for this long, so that the connection
 // can be reused.
 constexpr std::chrono::milliseconds kRefusalBodyTimeout{100};
@@ -78,8 +75,8 @@
   m_metrics.GetHistogram("server_answer_us", "kind=\"" + kind + "\"").Record(server_us);
   if (call.is_keyed()) call.answer = {head.status, headers, ""};
   if (!call.is_attached()) return;
-  call.has_unknown_length = !head.content_length && head.framing != BodyFraming::kNone;
-  call.timer.Start(std::chrono::microseconds(StreamTimeoutUs(call)));
+  int64_t left_us = std::max<int64_t>(0, call.timeout_us - EventLoop::NowUs());
+  call.timer.Start(std::chrono::microseconds(left_us + kAnswerTimeoutGraceMs * kUsPerMs));
   for (auto& [name, value] : NodeHeaders(kOutcomeAnswered, call.request_id)) {
     SetHeader(headers, name, value);
   }
@@ -167,16 +164,7 @@
   }
 }
 
-// Time until the next check of an answer that has begun; 0 if it is open-ended and its grace
-// period is over.
-int64_t ServingProxy::StreamTimeoutUs(const Call& call) {
-  int64_t idle_us = kStreamIdleTimeout.count() * kUsPerMs;
-  if (!call.has_unknown_length) return idle_us;
-  int64_t end_us = call.deadline_us + kOpenEndedGracePeriod.count() * kUsPerMs;
-  return std::clamp<int64_t>(end_us - EventLoop::NowUs(), 0, idle_us);
-}
-
-// Called at the deadline, at the periodic check of a streamed answer, and when the time for the
+// Called at the deadline, at the timeout of an answer that has begun, and when the time for the
 // body of a refusal or the grace period of an order is over.
 void ServingProxy::OnTimer(Call& call) {
   if (call.phase == Call::Phase::kQueued) {
@@ -189,15 +177,12 @@
     OnServerRefusal(call);
     return;
   }
-  bool is_streaming = call.relay.has_begun() && call.is_attached();
-  int64_t idle_us = EventLoop::NowUs() - call.exchange->last_activity_us();
-  bool is_alive = call.exchange->is_paused() || idle_us < kStreamIdleTimeout.count() * kUsPerMs;
-  if (is_streaming && is_alive && StreamTimeoutUs(call) > 0) {
-    call.timer.Start(std::chrono::microseconds(StreamTimeoutUs(call)));
+  if (call.relay.has_begun() && call.is_attached()) {
+    OnAnswerTimeout(call);
     return;
   }
   bool runs_on = call.is_keyed() && call.exchange->may_have_been_sent();
-  if (is_streaming || call.runs_detached || !runs_on) {
+  if (call.runs_detached || !runs_on) {
     Abort(call, AbortCause::kServerTimeout);
     return;
   }
@@ -206,6 +191,42 @@
   call.runs_detached = true;
 }
 
+// A keyed order loses only its connection to the entry node: OnDownstreamEnd lets it run on.
+void ServingProxy::OnAnswerTimeout(Call& call) {
+  if (call.is_keyed()) {
+    call.relay.End(ExchangeResult::kBroken);
+  } else {
+    Abort(call, TimeoutCauseOf(call));
+  }
+}
+
+ServingProxy::AbortCause ServingProxy::TimeoutCauseOf(const Call& call) {
+  return call.exchange->is_paused() ? AbortCause::kCallerSlow : AbortCause::kServerTimeout;
+}
+
+// The entry node closes the connection of an answer at its timeout, shortly before this node would.
+ServingProxy::AbortCause ServingProxy::CloseCauseOf(const Call& call) {
+  bool is_timeout = call.relay.has_begun() && call.timeout_us <= EventLoop::NowUs();
+  return is_timeout ? TimeoutCauseOf(call) : AbortCause::kDownstreamClosed;
+}
+
+std::string_view ServingProxy::ReasonOf(AbortCause cause) {
+  switch (cause) {
+    case AbortCause::kServerTimeout:
+      return kReasonAnswerTimeout;
+    case AbortCause::kCallerSlow:
+      return kReasonCallerSlow;
+    case AbortCause::kDownstreamClosed:
+      return kReasonCallerLeft;
+  }
+  return "";
+}
+
+void ServingProxy::CountTimeout(AbortCause cause) {
+  std::string labels = "reason=\"" + std::string(ReasonOf(cause)) + "\"";
+  m_metrics.GetCounter("serving_answers_timed_out_total", labels).Add();
+}
+
 // Aborts a running call. Closing its connection cancels it at the server.
 void ServingProxy::Abort(Call& call, AbortCause cause) {
   if (call.phase != Call::Phase::kRunning) return;
@@ -218,6 +239,8 @@
   if (call.is_keyed())
     FinishOrder(call, not_run ? ExchangeResult::kNotSent : ExchangeResult::kBroken);
   if (call.relay.has_begun()) {
+    LogEnd(call, kOutcomeAnswered, ReasonOf(cause));
+    if (cause != AbortCause::kDownstreamClosed) CountTimeout(cause);
     if (call.is_attached()) call.relay.End(ExchangeResult::kBroken);
   } else if (not_run) {
     AnswerNotRun(call, kReasonOverload, kDrainRetryAfterMs);
@@ -242,7 +265,7 @@
       if (!call.runs_detached) call.timer.Start(kOrderGracePeriod);
       call.runs_detached = true;
     } else {
-      Abort(call, AbortCause::kDownstreamClosed);
+      Abort(call, CloseCauseOf(call));
     }
   }
   RemoveIfEnded(call);
