--- a/test/platform/decoders_test.cc
+++ b/test/platform/decoders_test.cc
@@ -103,12 +103,16 @@
 TEST(Decoders, MalformedReportIsRejected) {
   const json good = {{"service", "catalogo"},
                      {"address", "10.0.0.9:8080"},
+                     {"zone", "braga"},
+                     {"version", "v1"},
                      {"slots", 9},
                      {"state", "ready"},
+                     {"cold-left-s", 0},
                      {"seq", 4},
                      {"born", 1}};
   ASSERT_TRUE(DecodeReport("i-1", good.dump()));
-  for (const char* key : {"service", "address", "state", "seq"}) {
+  for (const char* key :
+       {"service", "address", "zone", "version", "slots", "state", "cold-left-s", "seq"}) {
     json missing = good;
     missing.erase(key);
     EXPECT_FALSE(DecodeReport("i-1", missing.dump())) << key;
--- a/test/platform/mesh_node_test.cc
+++ b/test/platform/mesh_node_test.cc
@@ -264,10 +264,12 @@
   EXPECT_EQ(
       SendAndWait(m_serving->settings.listen.control_port, "PUT", path, "", "\x81?")->status(),
       400);
-  EXPECT_EQ(SendAndWait(m_serving->settings.listen.control_port, "PUT", path, "",
-                        R"({"service":"manuais","address":"127.0.0.1:1","state":"ready","seq":1})")
-                ->status(),
-            200);
+  EXPECT_EQ(
+      SendAndWait(m_serving->settings.listen.control_port, "PUT", path, "",
+                  R"({"service":"manuais","address":"127.0.0.1:1","zone":"braga","version":"v1",
+                                "slots":9,"state":"ready","cold-left-s":0,"seq":1})")
+          ->status(),
+      200);
   EXPECT_EQ(Call(*m_entry, "/parts/1", "1")->status(), 200);
 }
 
--- a/test/platform/poison_request_test.cc
+++ b/test/platform/poison_request_test.cc
@@ -73,7 +73,9 @@
     nlohmann::json body = {{"service", "shop"},
                            {"address", "127.0.0.1:" + std::to_string(server.vm->server->port())},
                            {"zone", "braga"},
+                           {"version", ""},
                            {"slots", 9},
+                           {"cold-left-s", 0},
                            {"state", "ready"},
                            {"seq", ++server.vm->sequence},
                            {"born", server.lifetime}};
--- a/test/support/mesh_fixture.h
+++ b/test/support/mesh_fixture.h
@@ -26,7 +26,7 @@
     FakeServer::Handler handler;
     uint64_t sequence = 0;
     std::string server_id;  // In the last heartbeat.
-    std::string version;    // In heartbeats; empty: none.
+    std::string version;    // In heartbeats.
     // Answers health checks; null: as a server that is in service.
     FakeServer::Handler health_handler;
   };
@@ -126,11 +126,12 @@
     nlohmann::json body = {{"service", vm.settings.node.service},
                            {"address", "127.0.0.1:" + std::to_string(vm.server->port())},
                            {"zone", "braga"},
+                           {"version", vm.version},
                            {"slots", 9},
                            {"state", state},
+                           {"cold-left-s", 0},
                            {"seq", ++vm.sequence},
                            {"born", born}};
-    if (!vm.version.empty()) body["version"] = vm.version;
     return SendAndWait(vm.settings.listen.control_port, "PUT", "/guavatrail/instances/" + id, "",
                        body.dump())
         ->status();
