Do not extend the queue time of a closed gate with each report

Cause: each report of a leaving server closes the gate again, which started the 0.8 s anew in which queued requests may still start. With reports less than 0.8 s apart the time never ended. Change: the end of the queue time is part of the closed gate; a further close can only bring it forward.

--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -199,6 +199,7 @@
     ServerLifetime server;    // Current backend server; no id: requests carry no server id.
     std::string reason;       // Reason why the gate is closed.
     bool is_leaving = false;  // The server has stated that it is leaving.
+    int64_t queue_end_us = 0;  // While closed: queued requests may start until then.
   };
 
   EventLoop& m_loop;
--- a/src/serving_proxy_gate.cc
+++ b/src/serving_proxy_gate.cc
@@ -2,6 +2,8 @@
 // by the node because of the gate or the link, and refusals by the server.
 #include <glog/logging.h>
 
+#include <algorithm>
+
 #include "deadline.h"
 #include "server_statement.h"
 #include "serving_call.h"
@@ -41,9 +43,15 @@
               << " queued=" << LoadOf(m_admission).queued
               << " in_service=" << LoadOf(m_admission).in_service;
   }
+  // Reports of a server that is leaving close the gate again and again. They give the queue no more
+  // time.
+  int64_t now_us = EventLoop::NowUs();
+  int64_t queue_end_us = now_us + queue_time.count() * kUsPerMs;
+  if (!m_gate.is_open) queue_end_us = std::min(queue_end_us, m_gate.queue_end_us);
   m_gate.is_open = false;
   m_gate.reason = reason;
-  m_gate_timer.Start(queue_time);
+  m_gate.queue_end_us = queue_end_us;
+  m_gate_timer.Start(std::chrono::microseconds(std::max<int64_t>(0, queue_end_us - now_us)));
 }
 
 // Refuses the requests that are still queued when the queue time of a closed gate has expired, so
--- a/test/correctness/serving_node_server_checks_test.cc
+++ b/test/correctness/serving_node_server_checks_test.cc
@@ -43,6 +43,41 @@
   EXPECT_EQ(m_server.requests(), 1);
 }
 
+// Guards against reports of a server that is leaving which keep its queue open (review/8).
+TEST_F(ServingNodeServerChecks, FurtherClosesOfTheGateGiveTheQueueNoMoreTime) {
+  m_slots = 1;
+  StartGuarded();
+  auto running = Send("GET", "/1", Repeatable("1"));
+  ASSERT_TRUE(WaitForRunning(1));
+  auto queued = Send("GET", "/2", Repeatable("2"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_proxy->load().queued == 1; }));
+  for (int i = 0; i < 10; ++i) {
+    m_proxy->CloseGate("draining", std::chrono::milliseconds(150));
+    RunFor(m_loop, std::chrono::milliseconds(50));
+  }
+  EXPECT_TRUE(queued->HasCompleteAnswer());
+  EXPECT_EQ(queued->header("X-Guavatrail-Outcome"), "not-run");
+  EXPECT_EQ(m_server.requests(), 1);
+}
+
+// A gate that was opened again has a queue time of its own when it is closed next.
+TEST_F(ServingNodeServerChecks, QueueTimeBeginsAnewOnceTheGateWasOpen) {
+  m_slots = 1;
+  StartGuarded();
+  m_proxy->CloseGate("draining", std::chrono::milliseconds(0));
+  m_proxy->OpenGate({.id = "server-1", .started_ms = 1}, m_slots);
+  auto running = Send("GET", "/1", Repeatable("1"));
+  ASSERT_TRUE(WaitForRunning(1));
+  auto queued = Send("GET", "/2", Repeatable("2"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_proxy->load().queued == 1; }));
+  m_proxy->CloseGate("draining", std::chrono::milliseconds(500));
+  AnswerWith(MakeAnswer(200, "one", "X-Id: 1\r\n"));
+  ASSERT_TRUE(WaitForRunning(1));
+  AnswerWith(MakeAnswer(200, "two", "X-Id: 2\r\n"));
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return queued->HasCompleteAnswer(); }));
+  EXPECT_EQ(queued->body(), "two");
+}
+
 TEST_F(ServingNodeServerChecks, RefusalByTheServerIsReportedAsNotRun) {
   StartGuarded();
   auto client = Send("GET", "/a", Repeatable("1"));
