End the trials of a quarantine when a server crashes on one

Cause: servers that crash together leave open whether a request did it; a server that crashes on a trial, the only copy that runs, does not. A second trial then costs a server for nothing. Change: the node that sees its server crash on a request in quarantine of which a trial was claimed marks its trials as used up, and tells the others.

--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -98,7 +98,12 @@
     blamed.push_back(fingerprint);
   }
   for (const std::string& fingerprint : blamed) {
-    AddCrash(EntryOf(fingerprint, now_us), lifetime, now_us);
+    Entry& entry = EntryOf(fingerprint, now_us);
+    // Only a trial runs in quarantine. A server that crashes on it does so alone, which leaves no
+    // doubt.
+    bool is_trial = entry.quarantine_end_us > now_us && entry.trials > 0;
+    AddCrash(entry, lifetime, now_us);
+    if (is_trial) entry.trials = kMaxTrials;
   }
   return blamed;
 }
--- a/test/correctness/quarantine_trials_test.cc
+++ b/test/correctness/quarantine_trials_test.cc
@@ -67,7 +67,6 @@
     ASSERT_EQ(Request(), Decision::kClaim);
     Claimed(trial);
     ASSERT_EQ(Request(), Decision::kRun);
-    Crash();
   }
   EXPECT_FALSE(m_blame.TrialWaitMs("a", m_now_us));
   m_now_us += 100 * kUsPerS;
@@ -76,6 +75,21 @@
   EXPECT_GT(*m_blame.RetryAfterMs("a", m_now_us), 60'000);
 }
 
+// A server that crashes on a trial crashes alone, so that a second trial would only cost a server.
+TEST_F(QuarantineTrialsTest, CrashInATrialEndsTheTrials) {
+  WaitForTrial();
+  ASSERT_EQ(Request(), Decision::kClaim);
+  Claimed(1);
+  ASSERT_EQ(Request(), Decision::kRun);
+  Crash();
+  m_now_us += 20 * kUsPerS;
+  EXPECT_EQ(Request(), Decision::kRefuse);
+  EXPECT_FALSE(m_blame.TrialWaitMs("a", m_now_us));
+  CrashBlame other;
+  other.Merge(m_blame.Suspects(m_now_us), m_now_us);
+  EXPECT_FALSE(other.TrialWaitMs("a", m_now_us));
+}
+
 TEST_F(QuarantineTrialsTest, CallersReturnWhenATrialMayHaveEndedTheQuarantine) {
   EXPECT_LE(*m_blame.RetryAfterMs("a", m_now_us), kMaxRefusalUs / 1'000);
   m_blame.OnAnswered("a", m_now_us);
