--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -196,9 +196,9 @@
   // Controls whether the backend server is sent new work.
   struct Gate {
     bool is_open = true;
-    ServerLifetime server;    // Current backend server; no id: requests carry no server id.
-    std::string reason;       // Reason why the gate is closed.
-    bool is_leaving = false;  // The server has stated that it is leaving.
+    ServerLifetime server;     // Current backend server; no id: requests carry no server id.
+    std::string reason;        // Reason why the gate is closed.
+    bool is_leaving = false;   // The server has stated that it is leaving.
     int64_t queue_end_us = 0;  // While closed: queued requests may start until then.
   };
 
