--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -60,7 +60,7 @@
   std::string request_id;
   // Only known during a containment and of a trial; see crash_containment.h, quarantine_trials.h.
   std::string fingerprint;
-  bool is_trial = false;
+  bool is_trial = false;  // A request in quarantine that runs as a trial.
   std::string service;
   std::string route;
   std::string last_node;        // Serving node of the latest attempt.
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -175,7 +175,11 @@
     RefuseQuarantined(std::move(request), *quarantine_ms);
     return;
   }
-  if (IsAboveQuota(request, *workspace)) return;
+  std::string trial_fingerprint = is_trial ? FingerprintOf(*request) : "";
+  if (IsAboveQuota(request, *workspace)) {
+    if (is_trial) m_trials->OnNotRun(trial_fingerprint, EventLoop::NowUs());
+    return;
+  }
   StartCall(std::move(request), {.table = *table,
                                  .route = *route,
                                  .kind = *kind,
