--- a/test/correctness/quota_of_calls_test.cc
+++ b/test/correctness/quota_of_calls_test.cc
@@ -1,6 +1,9 @@
 // Guards against calls above the quota of their workspace that run, and against calls that did not
 // run but count for the quota.
+#include "crash_blame.h"
 #include "entry_fixture.h"
+#include "quarantine_trials.h"
+#include "request_fingerprint.h"
 
 namespace guavatrail {
 namespace {
@@ -57,5 +60,40 @@
   EXPECT_EQ(m_metrics.GetCounter("quota_refused_total", "workspace=\"loja\"").value(), 1U);
 }
 
+// The fingerprint of the request GET /pecas/1 that the other tests send.
+std::string FingerprintOfLookup(EventLoop& loop) {
+  std::string fingerprint;
+  HttpListener listener(loop, [&](std::unique_ptr<DownstreamRequest> request) {
+    fingerprint = FingerprintOf(*request);
+  });
+  EXPECT_TRUE(listener.Listen("127.0.0.1", 0));
+  FakeClient client(loop, listener.port());
+  client.Send(MakeRequest("GET", "/pecas/1", kKey, ""));
+  EXPECT_TRUE(RunUntil(loop, [&] { return !fingerprint.empty(); }));
+  return fingerprint;
+}
+
+// The trial of a request in quarantine is not used up by a request that does not run.
+TEST_F(QuotaOfCallsTest, TrialAboveTheQuotaIsKept) {
+  Server& node = AddFakeNode(
+      [](FakeConnection& c, const std::string& r) { c.Send(NodeAnswer(r, 200, "answered", "a")); });
+  StartWithQuota();
+  std::string fingerprint = FingerprintOfLookup(m_loop);
+  CrashBlame blame;
+  QuarantineTrials trials(blame);
+  int64_t now_us = EventLoop::NowUs();
+  for (const char* server : {"1/i-1", "1/i-2", "1/i-3"}) {
+    blame.OnCrash(server, std::vector<std::string>{fingerprint}, now_us);
+  }
+  m_entry->SetCrashBlame(blame);
+  m_entry->SetQuarantineTrials(trials, [](const std::string&) {});
+  trials.OnClaimed(fingerprint, true, now_us);
+  m_quotas.OnReply("node-1", now_us, {.reporting_share = 1, .limits = {{"loja", 0, 0, 0}}}, now_us);
+  EXPECT_EQ(SendAndWait("GET", "/pecas/1", kKey)->status(), 429);
+  EXPECT_TRUE(node.requests.empty());
+  EXPECT_EQ(trials.OnRequest(fingerprint, EventLoop::NowUs()), QuarantineTrials::Decision::kRun);
+  m_entry.reset();
+}
+
 }  // namespace
 }  // namespace guavatrail
--- a/test/platform/poison_request_test.cc
+++ b/test/platform/poison_request_test.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "mesh_fixture.h"
+#include "suspect_codec.h"
 
 namespace guavatrail {
 namespace {
@@ -179,6 +180,28 @@
   EXPECT_LE(EventLoop::NowUs() - start_us, static_cast<int64_t>(kMaxRefusalS * 1'000'000));
 }
 
+// The store executes a claim without an answer, and an answer to another copy ends the quarantine
+// meanwhile. What the claim has stored must not remain for processes that start later.
+TEST_F(PoisonRequest, ClaimThatIsAnsweredLateLeavesNoStoredQuarantine) {
+  constexpr char kKind[] = "guavatrail-quarantines";
+  CrashServers(kCrashesToQuarantine);
+  ASSERT_TRUE(RunUntil(m_loop, [&] { return !m_store.NamesOf(kKind).empty(); }));
+  std::string fingerprint = m_store.NamesOf(kKind).front();
+  RunFor(m_loop, milliseconds(2'500));
+  m_store.SetMode(FakeStore::Mode::kAnswerLost);
+  CallPoison(m_servers[0]);
+  ASSERT_TRUE(
+      RunUntil(m_loop, [&] { return m_store.Find(kKind, fingerprint)->at("trials") == 1; }));
+  CrashSuspect cleared{.fingerprint = fingerprint, .is_cleared = true};
+  std::string body = EncodeSuspects({.suspects = {cleared}});
+  for (Fragile& server : m_servers) {
+    SendAndWait(server.vm->settings.listen.peer_port, "POST", kSuspectsPath, "", body);
+  }
+  RunFor(m_loop, milliseconds(500));
+  m_store.SetMode(FakeStore::Mode::kHealthy);
+  EXPECT_TRUE(RunUntil(m_loop, [&] { return m_store.NamesOf(kKind).empty(); }));
+}
+
 // Requests that were running at the crashes but have been answered by a server are not blamed.
 TEST_F(PoisonRequest, RequestsThatRunBesideItAreServed) {
   for (size_t i = 0; m_crashes < kCrashesToQuarantine + 2 && i < 100; ++i) {
