Look up a request in quarantine in one place, and compute its fingerprint once

Cause, found when reading the change: four queries of CrashBlame repeated the same search, and an entry node computed the digest of a request in quarantine, body included, up to five times (the check, the decision on a trial, the log, the quota, the call). Change: CrashBlame::FindQuarantined; EntryProxy::IsQuarantined computes the fingerprint, and CallTerms carries that of a trial in place of a flag.

--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -169,25 +169,31 @@
   std::erase_if(m_entries, [&](const auto& item) { return item.second.forget_us <= now_us; });
 }
 
+const CrashBlame::Entry* CrashBlame::FindQuarantined(std::string_view fingerprint,
+                                                     int64_t now_us) const {
+  auto it = m_entries.find(fingerprint);
+  bool is_quarantined = it != m_entries.end() && it->second.quarantine_end_us > now_us;
+  return is_quarantined ? &it->second : nullptr;
+}
+
 std::optional<int64_t> CrashBlame::QuarantineLeftMs(std::string_view fingerprint,
                                                     int64_t now_us) const {
-  auto it = m_entries.find(fingerprint);
-  if (it == m_entries.end() || it->second.quarantine_end_us <= now_us) return std::nullopt;
-  return (it->second.quarantine_end_us - now_us) / kUsPerMs + 1;
+  const Entry* entry = FindQuarantined(fingerprint, now_us);
+  if (entry == nullptr) return std::nullopt;
+  return (entry->quarantine_end_us - now_us) / kUsPerMs + 1;
 }
 
 std::optional<int64_t> CrashBlame::QuarantineStartUs(std::string_view fingerprint,
                                                      int64_t now_us) const {
-  auto it = m_entries.find(fingerprint);
-  if (it == m_entries.end() || it->second.quarantine_end_us <= now_us) return std::nullopt;
-  return it->second.quarantine_start_us;
+  const Entry* entry = FindQuarantined(fingerprint, now_us);
+  if (entry == nullptr) return std::nullopt;
+  return entry->quarantine_start_us;
 }
 
 std::optional<int64_t> CrashBlame::TrialWaitMs(std::string_view fingerprint, int64_t now_us) const {
-  auto it = m_entries.find(fingerprint);
-  if (it == m_entries.end() || it->second.quarantine_end_us <= now_us) return std::nullopt;
-  if (it->second.trials >= kMaxTrials) return std::nullopt;
-  return std::max<int64_t>(0, (it->second.next_trial_us - now_us + kUsPerMs - 1) / kUsPerMs);
+  const Entry* entry = FindQuarantined(fingerprint, now_us);
+  if (entry == nullptr || entry->trials >= kMaxTrials) return std::nullopt;
+  return std::max<int64_t>(0, (entry->next_trial_us - now_us + kUsPerMs - 1) / kUsPerMs);
 }
 
 std::optional<int64_t> CrashBlame::RetryAfterMs(std::string_view fingerprint,
@@ -199,11 +205,10 @@
 }
 
 bool CrashBlame::ConcernsAllNodes(std::string_view fingerprint, int64_t now_us) const {
+  if (FindQuarantined(fingerprint, now_us) != nullptr) return true;
   auto it = m_entries.find(fingerprint);
-  if (it == m_entries.end()) return false;
-  const Entry& entry = it->second;
-  return entry.quarantine_end_us > now_us ||
-         (entry.was_quarantined && entry.cleared_until_us > now_us);
+  return it != m_entries.end() && it->second.was_quarantined &&
+         it->second.cleared_until_us > now_us;
 }
 
 size_t CrashBlame::QuarantinedCount(int64_t now_us) const {
--- a/src/crash_blame.h
+++ b/src/crash_blame.h
@@ -95,6 +95,8 @@
   static void Clear(Entry& entry, int64_t now_us);
   static CrashSuspect SuspectOf(const Entries::value_type& item, int64_t now_us);
   Entry& EntryOf(std::string_view fingerprint, int64_t now_us);
+  // Null if the request is not in quarantine.
+  const Entry* FindQuarantined(std::string_view fingerprint, int64_t now_us) const;
   bool MergeOne(const CrashSuspect& suspect, int64_t now_us);
   void ForgetLeastSuspected();
 
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -169,15 +169,10 @@
                   kNoTableRetryAfterMs);
     return;
   }
-  auto quarantine_ms = QuarantineRetryAfterMs(m_blame, *request);
-  bool is_trial = quarantine_ms && IsTrialOf(*request);
-  if (quarantine_ms && !is_trial) {
-    RefuseQuarantined(std::move(request), *quarantine_ms);
-    return;
-  }
-  std::string trial_fingerprint = is_trial ? FingerprintOf(*request) : "";
+  std::string trial_fingerprint;
+  if (IsQuarantined(request, trial_fingerprint)) return;
   if (IsAboveQuota(request, *workspace)) {
-    if (is_trial) m_trials->OnNotRun(trial_fingerprint, EventLoop::NowUs());
+    if (!trial_fingerprint.empty()) m_trials->OnNotRun(trial_fingerprint, EventLoop::NowUs());
     return;
   }
   StartCall(std::move(request), {.table = *table,
@@ -185,13 +180,12 @@
                                  .kind = *kind,
                                  .workspace = *workspace,
                                  .deadline_us = deadline_us,
-                                 .is_trial = is_trial});
+                                 .trial_fingerprint = std::move(trial_fingerprint)});
 }
 
 // Whether a request in quarantine is to run as a trial. If not, it may make this node claim one.
-bool EntryProxy::IsTrialOf(const DownstreamRequest& request) {
+bool EntryProxy::IsTrial(const std::string& fingerprint) {
   if (m_trials == nullptr) return false;
-  std::string fingerprint = FingerprintOf(request);
   switch (m_trials->OnRequest(fingerprint, EventLoop::NowUs())) {
     case QuarantineTrials::Decision::kRefuse:
       return false;
@@ -204,11 +198,22 @@
   return false;
 }
 
-void EntryProxy::RefuseQuarantined(std::unique_ptr<DownstreamRequest> request,
-                                   int64_t retry_after_ms) {
+// Refuses the request if it is in quarantine. Sets `trial_fingerprint` instead if it is to run as a
+// trial.
+bool EntryProxy::IsQuarantined(std::unique_ptr<DownstreamRequest>& request,
+                               std::string& trial_fingerprint) {
+  if (m_blame == nullptr || m_blame->empty()) return false;
+  std::string fingerprint = FingerprintOf(*request);
+  auto retry_after_ms = m_blame->RetryAfterMs(fingerprint, EventLoop::NowUs());
+  if (!retry_after_ms) return false;
+  if (IsTrial(fingerprint)) {
+    trial_fingerprint = std::move(fingerprint);
+    return false;
+  }
   LOG(INFO) << "event=request_in_quarantine id=" << CallerRequestId(*request)
-            << " fingerprint=" << FingerprintOf(*request) << " retry_after_ms=" << retry_after_ms;
-  RefuseRequest(std::move(request), kHttpServiceUnavailable, kReasonQuarantined, retry_after_ms);
+            << " fingerprint=" << fingerprint << " retry_after_ms=" << *retry_after_ms;
+  RefuseRequest(std::move(request), kHttpServiceUnavailable, kReasonQuarantined, *retry_after_ms);
+  return true;
 }
 
 // Refuses the request if its workspace is above its quota.
@@ -238,7 +243,8 @@
   call.service = m_shares.Choose(terms.route, m_random);
   call.route = terms.route.name;
   call.config_version = terms.table.version();
-  call.max_attempts = terms.is_trial ? 1 : kind.attempts;
+  call.is_trial = !terms.trial_fingerprint.empty();
+  call.max_attempts = call.is_trial ? 1 : kind.attempts;
   call.objective_ms = kind.objective_ms;
   call.work = {kind.name, kind.importance, kind.is_short, mode};
   call.workspace = TagOf(terms.workspace);
@@ -250,7 +256,7 @@
   m_picker.SetEndpoints(m_view.endpoints(), now_us);
   m_picker.OnCall(call.service);
   LimitToShard(call);
-  if (terms.is_trial) StartTrial(call);
+  if (call.is_trial) StartTrial(call, terms.trial_fingerprint);
   if (call.deadline_us <= now_us) {
     AnswerNotRun(call, kDefaultRetryAfterMs);
     return;
@@ -263,9 +269,8 @@
   }
 }
 
-void EntryProxy::StartTrial(EntryCall& call) {
-  call.is_trial = true;
-  call.fingerprint = FingerprintOf(*call.downstream);
+void EntryProxy::StartTrial(EntryCall& call, const std::string& fingerprint) {
+  call.fingerprint = fingerprint;
   LOG(WARNING) << "event=quarantine_trial fingerprint=" << call.fingerprint
                << " id=" << CallerRequestId(*call.downstream) << " try_id=" << call.request_id;
   m_metrics.GetCounter("quarantine_trials_total").Add();
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -56,7 +56,8 @@
   const WorkKind& kind;
   const Workspace* workspace;  // Null: none.
   int64_t deadline_us = 0;
-  bool is_trial = false;  // The trial of a request in quarantine.
+  // Of a request in quarantine that runs as a trial; else empty.
+  std::string trial_fingerprint;
 };
 
 class EntryProxy {
@@ -113,13 +114,13 @@
   void RefuseRequest(std::unique_ptr<DownstreamRequest> request, int status,
                      std::string_view reason, int64_t retry_after_ms = 0);
   void SetRetryAfterFor(HeaderList& headers, int64_t retry_after_ms) const;
-  bool IsTrialOf(const DownstreamRequest& request);
-  void RefuseQuarantined(std::unique_ptr<DownstreamRequest> request, int64_t retry_after_ms);
+  bool IsTrial(const std::string& fingerprint);
+  bool IsQuarantined(std::unique_ptr<DownstreamRequest>& request, std::string& trial_fingerprint);
   void StartCall(std::unique_ptr<DownstreamRequest> request, const CallTerms& terms);
   bool IsAboveQuota(std::unique_ptr<DownstreamRequest>& request, const Workspace* workspace);
   void ReturnQuota(EntryCall& call);
   static void StartDeadlineTimer(EntryCall& call, int64_t end_us);
-  void StartTrial(EntryCall& call);
+  void StartTrial(EntryCall& call, const std::string& fingerprint);
   void LimitToShard(EntryCall& call);
   void OnDownstreamEnd(EntryCall& call, bool written);
   void OnDeadline(EntryCall& call);
