Share the set-up of a running and a queued request in the tests of the gate

Cause: two new tests repeated the four lines of ClosedGateRefusesNewWorkAndFinishesRunningWork. Change: SendRunningAndQueued in the fixture. The checks of the three tests are the same; each also still requires one queued request.

--- a/test/correctness/serving_node_server_checks_test.cc
+++ b/test/correctness/serving_node_server_checks_test.cc
@@ -5,7 +5,19 @@
 namespace guavatrail {
 namespace {
 
-using ServingNodeServerChecks = GuardedServingFixture;
+class ServingNodeServerChecks : public GuardedServingFixture {
+ protected:
+  using Client = std::unique_ptr<FakeClient>;
+
+  // Sends request 1, which the server runs in its only slot, and request 2, which waits for it.
+  std::pair<Client, Client> SendRunningAndQueued() {
+    Client running = Send("GET", "/1", Repeatable("1"));
+    EXPECT_TRUE(WaitForRunning(1));
+    Client queued = Send("GET", "/2", Repeatable("2"));
+    EXPECT_TRUE(RunUntil(m_loop, [&] { return m_proxy->load().queued == 1; }));
+    return {std::move(running), std::move(queued)};
+  }
+};
 
 TEST_F(ServingNodeServerChecks, RequestsCarryTheServerIdAndNoNodeHeaders) {
   StartGuarded();
@@ -28,10 +40,10 @@
 TEST_F(ServingNodeServerChecks, ClosedGateRefusesNewWorkAndFinishesRunningWork) {
   m_slots = 1;
   StartGuarded();
-  auto running = Send("GET", "/1", Repeatable("1"));
-  ASSERT_TRUE(WaitForRunning(1));
-  auto queued = Send("GET", "/2", Repeatable("2"));
-  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_proxy->load().queued == 1; }));
+  auto clients = SendRunningAndQueued();
+  FakeClient* running = clients.first.get();
+  FakeClient* queued = clients.second.get();
+  ASSERT_EQ(m_proxy->load().queued, 1);
   m_proxy->CloseGate("draining", std::chrono::milliseconds(50));
   auto late = SendAndWait("GET", "/3", Repeatable("3"));
   EXPECT_EQ(late->header("X-Guavatrail-Reason"), "draining");
@@ -47,10 +59,9 @@
 TEST_F(ServingNodeServerChecks, FurtherClosesOfTheGateGiveTheQueueNoMoreTime) {
   m_slots = 1;
   StartGuarded();
-  auto running = Send("GET", "/1", Repeatable("1"));
-  ASSERT_TRUE(WaitForRunning(1));
-  auto queued = Send("GET", "/2", Repeatable("2"));
-  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_proxy->load().queued == 1; }));
+  auto clients = SendRunningAndQueued();
+  FakeClient* queued = clients.second.get();
+  ASSERT_EQ(m_proxy->load().queued, 1);
   for (int i = 0; i < 10; ++i) {
     m_proxy->CloseGate("draining", std::chrono::milliseconds(150));
     RunFor(m_loop, std::chrono::milliseconds(50));
@@ -66,10 +77,9 @@
   StartGuarded();
   m_proxy->CloseGate("draining", std::chrono::milliseconds(0));
   m_proxy->OpenGate({.id = "server-1", .started_ms = 1}, m_slots);
-  auto running = Send("GET", "/1", Repeatable("1"));
-  ASSERT_TRUE(WaitForRunning(1));
-  auto queued = Send("GET", "/2", Repeatable("2"));
-  ASSERT_TRUE(RunUntil(m_loop, [&] { return m_proxy->load().queued == 1; }));
+  auto clients = SendRunningAndQueued();
+  FakeClient* queued = clients.second.get();
+  ASSERT_EQ(m_proxy->load().queued, 1);
   m_proxy->CloseGate("draining", std::chrono::milliseconds(500));
   AnswerWith(MakeAnswer(200, "one", "X-Id: 1\r\n"));
   ASSERT_TRUE(WaitForRunning(1));
