End the nodes of a review script that is ended from outside

Cause: a script that got SIGTERM left its nodes running. Done: the script cancels its case on SIGTERM, which ends nodes and stand-ins.

--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -567,6 +567,9 @@
         sys.exit(CANNOT_RUN)
 
     async def run():
+        # The nodes end with the script, also if it is ended from outside.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
+                                                      asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory() as scratch:
             mesh = Mesh(record, scratch)
             try:
@@ -580,7 +583,7 @@
 
     try:
         result = asyncio.run(run())
-    except Exception as error:  # A fault of the script itself says nothing about the rule.
+    except (Exception, asyncio.CancelledError) as error:  # Says nothing about the rule.
         record.add(f"cannot run: {type(error).__name__}: {error}")
         result = CANNOT_RUN
     record.add({HELD: "held", BROKEN: "broken", CANNOT_RUN: "cannot run"}[result])
