--- a/src/caller_identity.cc
+++ b/src/caller_identity.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <utility>
+
+#include "percent_encoding.h"
 
 namespace guavatrail {
 
@@ -63,19 +66,20 @@
 
 std::string FormatWorkspaceTag(const WorkspaceTag& tag) {
   auto weight = std::max<int64_t>(1, std::llround(tag.weight));
-  return tag.name + std::string(kImportance) + std::to_string(tag.importance) +
+  return PercentEncode(tag.name) + std::string(kImportance) + std::to_string(tag.importance) +
          std::string(kWeight) + std::to_string(weight);
 }
 
 WorkspaceTag ParseWorkspaceTag(std::string_view text) {
-  std::string_view name = text.substr(0, text.find(';'));
-  text.remove_prefix(name.size());
+  std::string_view encoded = text.substr(0, text.find(';'));
+  text.remove_prefix(encoded.size());
+  std::string name = PercentDecode(encoded);
   int64_t importance = TakeNumber(text, kImportance);
   int64_t weight = TakeNumber(text, kWeight);
-  bool is_valid = IsWorkspaceName(name) && importance >= 0 && importance <= kMaxImportance &&
-                  weight > 0 && text.empty();
+  bool is_valid = IsHeaderName(name) && PercentEncode(name) == encoded && importance >= 0 &&
+                  importance <= kMaxImportance && weight > 0 && text.empty();
   if (!is_valid) return {};
-  return {std::string(name), static_cast<int>(importance), static_cast<double>(weight)};
+  return {std::move(name), static_cast<int>(importance), static_cast<double>(weight)};
 }
 
 }  // namespace guavatrail
--- a/src/caller_identity.h
+++ b/src/caller_identity.h
@@ -40,7 +40,8 @@
 
 // The tag of a workspace; one with an empty name for null.
 WorkspaceTag TagOf(const Workspace* workspace);
-// The value of the X-Guavatrail-Workspace header, such as "loja-4;importance=2;weight=50".
+// The value of the X-Guavatrail-Workspace header, such as "loja-4;importance=2;weight=50"; the name
+// is percent-encoded.
 std::string FormatWorkspaceTag(const WorkspaceTag& tag);
 // A tag with an empty name if the text is not of that form.
 WorkspaceTag ParseWorkspaceTag(std::string_view text);
--- a/src/config_codec.cc
+++ b/src/config_codec.cc
@@ -6,6 +6,7 @@
 #include <sodium.h>
 
 #include <array>
+#include <cmath>
 
 namespace guavatrail {
 
@@ -15,6 +16,21 @@
   return tl::make_unexpected(CodecError{message});
 }
 
+// Whole numbers are encoded as integers, so that notes keep their digests.
+void SetWeight(double weight, pb::RouteShare& out) {
+  constexpr double kMaxInteger = 9'007'199'254'740'992.0;  // 2^53
+  bool is_integer = weight <= kMaxInteger && weight == std::floor(weight);
+  if (is_integer) {
+    out.set_weight(static_cast<int64_t>(weight));
+  } else {
+    out.set_exact_weight(weight);
+  }
+}
+
+double WeightOf(const pb::RouteShare& share) {
+  return share.exact_weight() != 0 ? share.exact_weight() : static_cast<double>(share.weight());
+}
+
 pb::Resource ToProto(const Resource& resource) {
   struct Visitor {
     pb::Resource operator()(const Service& r) const {
@@ -50,8 +66,9 @@
       for (const RouteShare& share : r.shares) {
         pb::RouteShare* added = out.mutable_route()->add_shares();
         added->set_service(share.service);
-        added->set_weight(share.weight);
+        SetWeight(share.weight, *added);
       }
+      out.mutable_route()->set_label(r.label);
       return out;
     }
     pb::Resource operator()(const Workspace& r) const {
@@ -83,9 +100,10 @@
     }
     case pb::Resource::kRoute: {
       const pb::Route& r = message.route();
-      Route route{r.name(), r.path_prefix(), r.service(), r.work(), r.host(), {}, r.is_public()};
+      Route route{r.name(), r.path_prefix(), r.service(), r.work(), r.host(),
+                  {},       r.is_public(),   r.label()};
       for (const pb::RouteShare& share : r.shares()) {
-        route.shares.push_back({share.service(), share.weight()});
+        route.shares.push_back({share.service(), WeightOf(share)});
       }
       return route;
     }
@@ -181,6 +199,13 @@
 }
 
 tl::expected<ReleaseNote, CodecError> DecodeNote(std::string_view bytes) {
+  auto note = DecodeChange(bytes);
+  if (!note) return note;
+  if (auto valid = ValidateNote(*note); !valid) return Fail(valid.error().message);
+  return note;
+}
+
+tl::expected<ReleaseNote, CodecError> DecodeChange(std::string_view bytes) {
   pb::ReleaseNote message;
   if (!Parse(bytes, message)) return Fail("release note: cannot parse the protobuf message");
   ReleaseNote note{message.id(), message.author(), message.summary(), {}, {}, {}};
@@ -196,7 +221,7 @@
     note.withdrawn.push_back(std::move(*decoded));
   }
   if (EncodeNote(note) != bytes) return Fail("release note: encoding is not canonical");
-  if (auto valid = ValidateNote(note); !valid) return Fail(valid.error().message);
+  if (auto valid = ValidateChange(note); !valid) return Fail(valid.error().message);
   return note;
 }
 
--- a/src/config_codec.h
+++ b/src/config_codec.h
@@ -20,6 +20,8 @@
 // (ValidateNote, ConfigTable::Validate).
 std::string EncodeNote(const ReleaseNote& note);
 tl::expected<ReleaseNote, CodecError> DecodeNote(std::string_view bytes);
+// Decodes the encoded result of ConfigTable::ChangeSince (ValidateChange).
+tl::expected<ReleaseNote, CodecError> DecodeChange(std::string_view bytes);
 std::string EncodeTable(const ConfigTable& table);
 tl::expected<ConfigTable, CodecError> DecodeTable(std::string_view bytes);
 
--- a/src/config_relay.cc
+++ b/src/config_relay.cc
@@ -313,10 +313,10 @@
     if (!table) return refuse(table.error().message);
     return std::make_shared<const ConfigTable>(std::move(*table));
   }
-  auto note = DecodeNote(reply.body);
-  if (!note) return refuse(note.error().message);
+  auto change = DecodeChange(reply.body);
+  if (!change) return refuse(change.error().message);
   if (m_table == nullptr) return refuse("a change without a table to apply it to");
-  auto next = m_table->Apply(*note);
+  auto next = m_table->ApplyChange(*change);
   if (!next) return refuse(next.error().message);
   ConfigTable table =
       next->AtVersion(static_cast<uint64_t>(HeaderNumber(reply.headers, kVersionHeader)));
--- a/src/config_relay_answers.cc
+++ b/src/config_relay_answers.cc
@@ -135,9 +135,9 @@
     if (previous.table->version() != known) continue;
     if (previous.table->limits() != m_table->limits()) return nullptr;
     if (previous.change.empty()) {
-      ReleaseNote note = m_table->ChangeSince(*previous.table);
-      if (!ValidateNote(note)) return nullptr;
-      previous.change = EncodeNote(note);
+      ReleaseNote change = m_table->ChangeSince(*previous.table);
+      if (!ValidateChange(change)) return nullptr;
+      previous.change = EncodeNote(change);
     }
     return previous.change.size() < m_encoded.size() ? &previous.change : nullptr;
   }
--- a/src/config_table.h
+++ b/src/config_table.h
@@ -51,10 +51,10 @@
   bool operator==(const WorkKind&) const = default;
 };
 
-// A service's share of the requests of a route, by weight.
+// A service's share of the requests of a route: its weight relative to the sum of all weights.
 struct RouteShare {
   std::string service;
-  int64_t weight = 1;
+  double weight = 1;
   bool operator==(const RouteShare&) const = default;
 };
 
@@ -71,6 +71,8 @@
   std::vector<RouteShare> shares;
   // Requests need no API key, even if the configuration has workspaces.
   bool is_public = false;
+  // The operator's name for the route, for logs only: several routes may have the same one.
+  std::string label;
   bool operator==(const Route&) const = default;
 };
 
@@ -125,27 +127,45 @@
 
 // "already_exists", "not_found", "dangling_reference", "duplicate" or "invalid_value".
 std::string_view ToString(ConfigError::Code code);
+// An error whose message names `resource` and says `problem`.
+tl::unexpected<ConfigError> MakeConfigError(ConfigError::Code code, const ResourceRef& resource,
+                                            std::string_view problem,
+                                            std::optional<ResourceRef> related = std::nullopt);
 
-// Limits on values, shared by the parser of notes and the checks of tables.
+// Limits on the values of notes.
 inline constexpr size_t kMaxNameLength = 63;
 inline constexpr size_t kMaxTextLength = 1000;
 inline constexpr size_t kMaxPathPrefixLength = 255;
+inline constexpr int64_t kMaxWeight = 1'000'000;
+inline constexpr size_t kMaxNoteShares = 64;
+inline constexpr size_t kMaxNoteApiKeys = 256;
+// Limits on the values of notes and tables.
 inline constexpr int64_t kMaxDeadlineMs = 600'000;
 inline constexpr int kMaxImportance = 3;
 inline constexpr int kMaxAttempts = 16;
 inline constexpr size_t kMaxHostLength = 253;
-inline constexpr size_t kMaxShares = 64;
-inline constexpr int64_t kMaxWeight = 1'000'000;
+inline constexpr size_t kMaxShares = 1'024;
+// Limits on the values of tables, which may come from an operator's interface other than notes.
+// Such names are sent in headers.
+inline constexpr size_t kMaxHeaderNameLength = 255;
+inline constexpr size_t kMaxLabelLength = 128;
+inline constexpr size_t kMaxTablePrefixLength = 8'192;
 
 // 1 to 63 characters a-z, 0-9 and -.
 bool IsConfigName(std::string_view text);
+// The name of a service or workspace in a table: 1 to 255 bytes that a header can carry unchanged.
+bool IsHeaderName(std::string_view text);
 // Starts with "/", followed by visible ASCII characters except "?" and "#"; at most 255 bytes.
 bool IsPathPrefix(std::string_view text);
+// Whether the path of a request can begin with `text`.
+bool CanBeginPath(std::string_view text);
 
-// Checks the values of one resource on its own, without its references.
+// Checks the values of one resource of a table on its own, without its references.
 tl::expected<void, ConfigError> ValidateResource(const Resource& resource);
-// Checks a note as far as possible without a table: its id and texts, that it names at least one
-// resource and none twice, and the values of its resources.
+// Checks a change between two tables as far as possible without them: its id and texts, that it
+// names at least one resource and none twice, and the values of its resources.
+tl::expected<void, ConfigError> ValidateChange(const ReleaseNote& change);
+// Checks a note of an operator in the same way; names, prefixes and keys follow stricter rules.
 tl::expected<void, ConfigError> ValidateNote(const ReleaseNote& note);
 // The resources that a note adds, changes or withdraws, sorted.
 std::vector<ResourceRef> AffectedResources(const ReleaseNote& note);
@@ -178,6 +198,8 @@
   // The result of applying `note`, at version() + 1. Fails when the note is invalid in itself, adds
   // a resource that exists, changes or withdraws one that does not, or leaves a dangling reference.
   tl::expected<ConfigTable, ConfigError> Apply(const ReleaseNote& note) const;
+  // The same for the result of ChangeSince, which need not meet the stricter rules of notes.
+  tl::expected<ConfigTable, ConfigError> ApplyChange(const ReleaseNote& change) const;
 
   // The difference from `before` to this table as a note; each list is sorted by type, then name.
   ReleaseNote ChangeSince(const ConfigTable& before) const;
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -18,7 +18,8 @@
 constexpr int64_t kUsPerMs = 1000;
 // Time after the deadline for the arrival of an answer that a serving node sends at the deadline.
 constexpr int64_t kDeadlineGraceMs = 50;
-// Retry-After of requests that are refused because this node is starting or draining.
+// Retry-After of requests that are refused because this node is starting or draining, or because no
+// service of their route has a weight.
 constexpr int64_t kNoTableRetryAfterMs = 1'000;
 
 bool IsSafeMethod(evhttp_cmd_type method) {
@@ -153,6 +154,10 @@
     RefuseRequest(std::move(request), kHttpUnauthorized, ToString(workspace.error()));
     return;
   }
+  if (!ShareChooser::HasService(*route)) {
+    RefuseRequest(std::move(request), kHttpServiceUnavailable, "no_weight", kNoTableRetryAfterMs);
+    return;
+  }
   int64_t deadline_ms = kind->deadline_ms;
   if (const std::string* text = FindHeader(request->headers(), m_protocol.deadline_header);
       text != nullptr) {
@@ -241,7 +246,7 @@
   call.id = id;
   call.request_id = m_id_prefix + std::to_string(id);
   call.service = m_shares.Choose(terms.route, m_random);
-  call.route = terms.route.name;
+  call.route = terms.route.label.empty() ? terms.route.name : terms.route.label;
   call.config_version = terms.table.version();
   call.is_trial = !terms.trial_fingerprint.empty();
   call.max_attempts = call.is_trial ? 1 : kind.attempts;
--- a/src/entry_proxy_answers.cc
+++ b/src/entry_proxy_answers.cc
@@ -3,6 +3,7 @@
 
 #include "entry_call.h"
 #include "entry_proxy.h"
+#include "percent_encoding.h"
 
 namespace guavatrail {
 
@@ -78,7 +79,7 @@
   if (call.is_recorded) return;
   call.is_recorded = true;
   LogCall(call, outcome);
-  std::string labels = "service=\"" + call.service + "\",kind=\"" + call.work.name +
+  std::string labels = "service=\"" + EscapeLabel(call.service) + "\",kind=\"" + call.work.name +
                        "\",outcome=\"" + std::string(ToString(outcome)) + "\"";
   m_metrics.GetCounter("calls_total", labels).Add();
   if (!m_observer) return;
@@ -92,8 +93,8 @@
 void EntryProxy::LogCall(const EntryCall& call, CallOutcome outcome) const {
   LOG(INFO) << "event=request id=" << CallerRequestId(*call.downstream)
             << " try_id=" << call.request_id << " route=" << call.route
-            << " service=" << call.service
-            << " workspace=" << (call.workspace.name.empty() ? "none" : call.workspace.name)
+            << " service=" << PercentEncode(call.service) << " workspace="
+            << (call.workspace.name.empty() ? "none" : PercentEncode(call.workspace.name))
             << " outcome=" << ToString(outcome) << " status=" << call.status
             << " tries=" << call.attempts_started << " reached=" << call.servers_reached
             << " last_node=" << call.last_node
--- a/src/http_headers.cc
+++ b/src/http_headers.cc
@@ -63,6 +63,14 @@
   return nullptr;
 }
 
+bool IsFieldValue(std::string_view text) {
+  if (text.empty() || text.front() == ' ' || text.back() == ' ') return false;
+  return std::none_of(text.begin(), text.end(), [](char c) {
+    auto byte = static_cast<unsigned char>(c);
+    return byte < 0x20 || byte == 0x7f;
+  });
+}
+
 std::string LowerCase(std::string_view text) {
   std::string lower(text);
   std::transform(lower.begin(), lower.end(), lower.begin(),
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -141,6 +141,9 @@
 
 // Compares header names case-insensitively.
 bool IsSameHeaderName(std::string_view a, std::string_view b);
+// Whether a header can carry `text` unchanged: not empty, without control characters, and with no
+// space at either end, which readers strip.
+bool IsFieldValue(std::string_view text);
 // Null if absent.
 const std::string* FindHeader(const HeaderList& headers, std::string_view name);
 // Converts ASCII letters to lower case, for the comparison of host names.
--- a/src/member_table.cc
+++ b/src/member_table.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "config_table.h"
 #include "overlay.h"
 
 namespace guavatrail {
@@ -70,7 +71,7 @@
 }
 
 bool IsValidRecord(const pb::MemberRecord& record) {
-  bool names = IsName(record.name()) && IsName(record.service()) && IsName(record.region()) &&
+  bool names = IsName(record.name()) && IsHeaderName(record.service()) && IsName(record.region()) &&
                IsName(record.data_centre()) && IsIp(record.ip());
   bool ports = std::max({record.caller_port(), record.peer_port(), record.control_port(),
                          record.admin_port()}) <= kMaxPort;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -65,6 +65,15 @@
   return BinEndUs(BinCount() - 1);
 }
 
+std::string EscapeLabel(std::string_view text) {
+  std::string escaped;
+  for (char c : text) {
+    if (c == '"' || c == '\\') escaped.push_back('\\');
+    escaped.push_back(c);
+  }
+  return escaped;
+}
+
 Counter& Metrics::GetCounter(std::string_view name, std::string_view labels) {
   return m_counters[{std::string(name), std::string(labels)}];
 }
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -57,6 +57,9 @@
   int64_t m_sum_us = 0;
 };
 
+// The text with the characters escaped that the syntax of label values needs escaped.
+std::string EscapeLabel(std::string_view text);
+
 // Returned references stay valid for the lifetime of the registry. `labels` is empty or in
 // Prometheus syntax, for example `kind="lookup",service="catalogo"`.
 class Metrics {
--- a/src/quota_codec.cc
+++ b/src/quota_codec.cc
@@ -21,11 +21,11 @@
 }
 
 bool IsValid(const pb::QuotaUsage& usage) {
-  return IsWorkspaceName(usage.workspace()) && IsValid(usage.total()) && IsValid(usage.base());
+  return IsHeaderName(usage.workspace()) && IsValid(usage.total()) && IsValid(usage.base());
 }
 
 bool IsValid(const pb::QuotaLimit& limit) {
-  return IsWorkspaceName(limit.workspace()) && limit.share() >= 0 && limit.share() <= 1 &&
+  return IsHeaderName(limit.workspace()) && limit.share() >= 0 && limit.share() <= 1 &&
          IsQuotaValue(limit.rate_per_s()) && IsQuotaValue(limit.burst());
 }
 
--- a/src/serving_proxy_answers.cc
+++ b/src/serving_proxy_answers.cc
@@ -1,6 +1,7 @@
 // The part of ServingProxy that generates its own answers and logs the outcome of requests.
 #include <glog/logging.h>
 
+#include "percent_encoding.h"
 #include "placement.h"
 #include "serving_call.h"
 #include "serving_proxy.h"
@@ -32,8 +33,8 @@
   int64_t start_us = call.start_us == 0 ? now_us : call.start_us;
   LOG(INFO) << "event=served id="
             << HeaderValue(call.downstream->headers(), m_protocol.request_id_header)
-            << " try_id=" << call.request_id << " kind=" << call.work.name
-            << " workspace=" << (call.workspace.name.empty() ? "none" : call.workspace.name)
+            << " try_id=" << call.request_id << " kind=" << call.work.name << " workspace="
+            << (call.workspace.name.empty() ? "none" : PercentEncode(call.workspace.name))
             << " outcome=" << outcome << " reason=" << reason << " server=" << call.server.id
             << " queue_ms=" << (start_us - arrival_us) / kUsPerMs
             << " server_ms=" << (now_us - start_us) / kUsPerMs
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -26,7 +26,7 @@
   double min;
   double max;
 };
-enum class TextKind { kName, kIp, kAddress, kAny, kZ85Key, kFixedChoice };
+enum class TextKind { kName, kHeaderName, kIp, kAddress, kAny, kZ85Key, kFixedChoice };
 struct TextRule {
   TextKind kind;
   std::vector<std::string> choices;
@@ -68,13 +68,15 @@
 
 const std::vector<KeySpec>& KeySpecs() {
   const TextRule name{TextKind::kName, {}};
+  const TextRule header_name{TextKind::kHeaderName, {}};
   const TextRule ip{TextKind::kIp, {}};
   const TextRule key{TextKind::kZ85Key, {}};
   const TextRule address{TextKind::kAddress, {}};
   const TextRule any{TextKind::kAny, {}};
   static const std::vector<KeySpec> kSpecs = {
       GUAVATRAIL_TEXT(node, name, true, name, "Unique name of the node."),
-      GUAVATRAIL_TEXT(node, service, true, name, "Service of the backend server beside the node."),
+      GUAVATRAIL_TEXT(node, service, true, header_name,
+                      "Service of the backend server beside the node."),
       GUAVATRAIL_TEXT(node, region, true, name, "Region of the VM."),
       GUAVATRAIL_TEXT(node, data_centre, true, name, "Data centre of the VM."),
       GUAVATRAIL_TEXT(listen, ip, true, ip, "Address on which all ports listen."),
@@ -213,6 +215,8 @@
       switch (r.kind) {
         case TextKind::kName:
           return "a name of 1 to 63 characters a-z, 0-9 and -";
+        case TextKind::kHeaderName:
+          return "a name of 1 to 255 bytes without control characters";
         case TextKind::kIp:
           return "an IP address";
         case TextKind::kAddress:
@@ -239,6 +243,8 @@
   switch (rule.kind) {
     case TextKind::kName:
       return IsConfigName(text);
+    case TextKind::kHeaderName:
+      return IsHeaderName(text);
     case TextKind::kIp:
       return IsIp(text);
     case TextKind::kAddress:
--- a/src/share_chooser.h
+++ b/src/share_chooser.h
@@ -18,15 +18,20 @@
 // each.
 class ShareChooser {
  public:
-  // The service for the next request of `route`.
+  // Whether a service of `route` takes requests: the route has no shares, or one with a weight.
+  static bool HasService(const Route& route);
+  // The service for the next request of `route`, which must have one.
   const std::string& Choose(const Route& route, RandomSource& random);
 
  private:
   struct State {
-    std::vector<RouteShare> shares;  // The shares that `credits` belongs to.
+    std::vector<RouteShare> shares;  // The shares that the other fields belong to.
+    std::vector<double> fractions;   // Of the requests; their sum is 1.
     std::vector<double> credits;
   };
 
+  static State MakeState(const std::vector<RouteShare>& shares, RandomSource& random);
+
   std::map<std::string, State, std::less<>> m_routes;
 };
 
--- a/src/workspace.cc
+++ b/src/workspace.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "http_headers.h"
+
 namespace guavatrail {
 
 bool IsWorkspaceName(std::string_view text) {
@@ -17,6 +19,10 @@
   return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
 }
 
+bool CanBePresented(std::string_view key) {
+  return key.size() <= kMaxTableKeyLength && IsFieldValue(key);
+}
+
 // The form also rejects NaN.
 bool IsQuotaValue(double value) { return value >= 0 && value <= kMaxRatePerS; }
 
--- a/src/workspace.h
+++ b/src/workspace.h
@@ -21,13 +21,16 @@
 
 inline constexpr size_t kMaxWorkspaceNameLength = 63;
 inline constexpr size_t kMaxApiKeyLength = 255;
-inline constexpr size_t kMaxApiKeys = 256;
+inline constexpr size_t kMaxTableKeyLength = 8'192;
+inline constexpr size_t kMaxApiKeys = 100'000;
 inline constexpr double kMaxRatePerS = 1e9;
 
-// 1 to 63 characters a-z, A-Z, 0-9, ., _ and -. Names are sent in headers.
+// A name in a note: 1 to 63 characters a-z, A-Z, 0-9, ., _ and -.
 bool IsWorkspaceName(std::string_view text);
-// 1 to 255 visible ASCII characters.
+// A key in a note: 1 to 255 visible ASCII characters.
 bool IsApiKey(std::string_view text);
+// Whether a request can carry `key`: 1 to 8192 bytes that a header can carry unchanged.
+bool CanBePresented(std::string_view key);
 // Whether `value` is a rate or a burst: a number from 0 to kMaxRatePerS.
 bool IsQuotaValue(double value);
 
