--- a/apps/guavatrail.cc
+++ b/apps/guavatrail.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "command_line.h"
+#include "config_check.h"
 #include "event_loop.h"
 #include "operator_commands.h"
 #include "operator_queries.h"
@@ -22,6 +23,7 @@
   if (command == "drain") return guavatrail::RunDrain(loop, arguments, out);
   if (command == "keygen") return guavatrail::RunKeygen(arguments, out);
   if (command == "validate") return guavatrail::RunValidate(loop, arguments, out);
+  if (command == "check-config") return guavatrail::platform::RunCheckConfig(arguments, out);
   if (command == "notes") return guavatrail::RunNotes(loop, arguments, out);
   if (command == "show") return guavatrail::RunShow(loop, arguments, out);
   if (command == "progress") return guavatrail::RunProgress(loop, arguments, out);
--- a/src/command_line.cc
+++ b/src/command_line.cc
@@ -14,7 +14,8 @@
 constexpr char kHelp[] =
     "Publishes release notes to a mesh and reports their progress. "
     "Commands: publish NOTE.toml, drain NODE, keygen. "
-    "Queries: validate NOTE.toml, notes, show VERSION, progress [VERSION], nodes, burn. "
+    "Queries: validate NOTE.toml, check-config CONFIG.json, notes, show VERSION, progress "
+    "[VERSION], nodes, burn. "
     "Exit codes: 0 done, 1 refused with nothing changed, 2 usage, 3 outcome unknown.";
 constexpr int64_t kMaxWaitSeconds = 3600;
 
@@ -31,7 +32,7 @@
     CommandSpec{"notes", 0, 0, true, false},    CommandSpec{"show", 1, 1, true, false},
     CommandSpec{"progress", 0, 1, false, true}, CommandSpec{"nodes", 0, 0, false, true},
     CommandSpec{"burn", 0, 0, false, true},     CommandSpec{"drain", 1, 1, false, true},
-    CommandSpec{"keygen", 0, 0, false, false},
+    CommandSpec{"keygen", 0, 0, false, false},  CommandSpec{"check-config", 1, 1, false, false},
 };
 
 tl::expected<void, UsageError> CheckArguments(const OperatorArguments& arguments) {
