Match hosts with a port

A host such as oficina.example:8304 came into force and all its requests got 404: the port was removed from the request and not from the rule. Requests now keep it. A rule with a port is for requests that name that port; a rule without one is for all ports that have no rule of their own. Fingerprints of requests that crash servers leave the port out as before. IPv6 addresses in brackets are no longer cut at their first colon.

--- a/src/config_table.cc
+++ b/src/config_table.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "http_headers.h"
+
 namespace guavatrail {
 
 namespace {
@@ -105,8 +107,10 @@
   return nullptr;
 }
 
-const Route* ConfigTable::MatchRoute(std::string_view path, std::string_view host) const {
-  const Route* route = host.empty() ? nullptr : LongestPrefix(host, path);
+const Route* ConfigTable::MatchRoute(std::string_view path, std::string_view authority) const {
+  if (const Route* route = LongestPrefix(authority, path); route != nullptr) return route;
+  std::string_view host = HostWithoutPort(authority);
+  const Route* route = host == authority ? nullptr : LongestPrefix(host, path);
   return route != nullptr ? route : LongestPrefix("", path);
 }
 
--- a/src/config_table.h
+++ b/src/config_table.h
@@ -64,7 +64,8 @@
   std::string path_prefix;
   std::string service;
   std::string work;
-  // The host that requests must address, in lower case; empty: any.
+  // The host that requests must address, in lower case; empty: any. With a port, requests must name
+  // it too.
   std::string host;
   // When not empty, requests are split among these services by weight, and `service`
   // is not used for routing but must exist.
@@ -188,9 +189,10 @@
   const WorkKind* FindWorkKind(std::string_view name) const;
   // The workspace that `api_key` belongs to; null when absent.
   const Workspace* FindWorkspaceByKey(std::string_view api_key) const;
-  // The route for `host`, or else for any host, with the longest path prefix that matches whole
-  // segments of `path`; null when none matches. `path` must not contain the query.
-  const Route* MatchRoute(std::string_view path, std::string_view host = {}) const;
+  // The route with the longest path prefix that matches whole segments of `path`: for `authority`,
+  // which is HOST or HOST:PORT, or else for its host with any port, or else for any host. Null when
+  // none matches. `path` must not contain the query.
+  const Route* MatchRoute(std::string_view path, std::string_view authority = {}) const;
 
   // Checks all resources and references; returns the first error found.
   tl::expected<void, ConfigError> Validate() const;
--- a/src/downstream_request.cc
+++ b/src/downstream_request.cc
@@ -37,7 +37,7 @@
     : m_connection(&connection),
       m_method(head.method),
       m_target(OriginFormOf(head.target)),
-      m_host(HostOf(head)),
+      m_authority(AuthorityOf(head)),
       m_headers(EndToEndHeaders(head.headers)),
       m_body(std::move(body)),
       m_arrival_us(EventLoop::NowUs()),
--- a/src/downstream_request.h
+++ b/src/downstream_request.h
@@ -44,8 +44,8 @@
   const std::string& target() const { return m_target; }
   // The path without the query.
   std::string_view path() const;
-  // The requested host in lower case, without the port; may be empty.
-  const std::string& host() const { return m_host; }
+  // The requested host in lower case, with the port if the request names one; may be empty.
+  const std::string& authority() const { return m_authority; }
   // The end-to-end headers.
   const HeaderList& headers() const { return m_headers; }
   const std::shared_ptr<const std::string>& body() const { return m_body; }
@@ -93,7 +93,7 @@
   DownstreamConnection* m_connection;
   evhttp_cmd_type m_method;
   std::string m_target;
-  std::string m_host;
+  std::string m_authority;
   HeaderList m_headers;
   std::shared_ptr<const std::string> m_body;
   int64_t m_arrival_us;
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -120,7 +120,7 @@
 bool EntryProxy::MayOverlap(const RequestTarget& target) const {
   std::shared_ptr<const ConfigTable> table = m_view.table();
   if (m_draining || table == nullptr || target.path.starts_with(kInternalPathPrefix)) return false;
-  const Route* route = table->MatchRoute(target.path, target.host);
+  const Route* route = table->MatchRoute(target.path, target.authority);
   const WorkKind* kind = route == nullptr ? nullptr : table->FindWorkKind(route->work);
   return kind != nullptr && ModeOf(*kind, target.method) == RunMode::kRepeatable;
 }
@@ -143,7 +143,7 @@
   // Internal paths are not accessible to callers.
   bool is_internal_path = request->path().starts_with(kInternalPathPrefix);
   const Route* route =
-      is_internal_path ? nullptr : table->MatchRoute(request->path(), request->host());
+      is_internal_path ? nullptr : table->MatchRoute(request->path(), request->authority());
   const WorkKind* kind = route == nullptr ? nullptr : table->FindWorkKind(route->work);
   if (kind == nullptr) {
     RefuseRequest(std::move(request), kHttpNotFound, "no_route");
--- a/src/http_headers.cc
+++ b/src/http_headers.cc
@@ -78,6 +78,12 @@
   return lower;
 }
 
+std::string_view HostWithoutPort(std::string_view authority) {
+  size_t address_end = authority.starts_with('[') ? authority.find(']') : 0;
+  if (address_end == std::string_view::npos) return authority;
+  return authority.substr(0, authority.find(':', address_end));
+}
+
 std::string_view HeaderValue(const HeaderList& headers, std::string_view name) {
   const std::string* text = FindHeader(headers, name);
   return text == nullptr ? std::string_view() : *text;
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -148,6 +148,8 @@
 const std::string* FindHeader(const HeaderList& headers, std::string_view name);
 // Converts ASCII letters to lower case, for the comparison of host names.
 std::string LowerCase(std::string_view text);
+// The host of `authority`, which is HOST or HOST:PORT. HOST may be an IPv6 address in brackets.
+std::string_view HostWithoutPort(std::string_view authority);
 // The value of a header; empty if absent.
 std::string_view HeaderValue(const HeaderList& headers, std::string_view name);
 // The value of a numeric header; 0 if it is absent, negative or not a number.
--- a/src/http_listener.cc
+++ b/src/http_listener.cc
@@ -132,8 +132,8 @@
 bool HttpListener::MayOverlap(const HttpHead& head) const {
   if (!m_may_overlap) return false;
   std::string target = OriginFormOf(head.target);
-  std::string host = HostOf(head);
-  return m_may_overlap({.method = head.method, .path = PathOf(target), .host = host});
+  std::string authority = AuthorityOf(head);
+  return m_may_overlap({.method = head.method, .path = PathOf(target), .authority = authority});
 }
 
 // Closes a share of the connections, so that this is done once for many new ones.
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -45,7 +45,7 @@
 struct RequestTarget {
   evhttp_cmd_type method = EVHTTP_REQ_GET;
   std::string_view path;  // Without the query.
-  std::string_view host;  // In lower case, without the port; may be empty.
+  std::string_view authority;  // See DownstreamRequest::authority().
 };
 
 class HttpListener {
--- a/src/request_fingerprint.cc
+++ b/src/request_fingerprint.cc
@@ -32,7 +32,7 @@
   crypto_generichash_state state;
   crypto_generichash_init(&state, nullptr, 0, kDigestBytes);
   AddPart(state, std::to_string(request.method()));
-  AddPart(state, request.host());
+  AddPart(state, HostWithoutPort(request.authority()));
   AddPart(state, request.target());
   for (std::string_view name : kCredentialHeaders) {
     AddPart(state, HeaderValue(request.headers(), name));
--- a/src/request_target.cc
+++ b/src/request_target.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-std::string_view AuthorityOf(std::string_view target) {
+std::string_view AuthorityInTarget(std::string_view target) {
   size_t scheme = target.find("://");
   if (scheme == std::string_view::npos || target.front() == '/') return {};
   std::string_view rest = target.substr(scheme + 3);
@@ -26,10 +26,10 @@
   return cut.front() == '/' ? cut : "/" + cut;
 }
 
-std::string HostOf(const HttpHead& head) {
-  std::string_view authority = AuthorityOf(head.target);
+std::string AuthorityOf(const HttpHead& head) {
+  std::string_view authority = AuthorityInTarget(head.target);
   if (authority.empty()) authority = HeaderValue(head.headers, "Host");
-  return LowerCase(authority.substr(0, authority.find(':')));
+  return LowerCase(authority);
 }
 
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
