Keep the mesh closed when no workspace is left

Once the operator had removed the last tenant, or with an empty list from the first version on, requests with any key or none ran, orders too, and the key and a tenant that the caller had made up reached the server. A table without workspaces counted as one that needs no keys; withdrawing the last workspace by a note had the same effect.

Whether requests need keys is now a fact of each version (requires_api_keys): set by the decoder if the field is there, empty or null included, carried by encoded tables, by changes between tables and by notes, and asked by the entry node in place of the list. In notes, a first workspace sets it, and requires_api_keys = false ends it once there are none.

--- a/src/caller_identity.cc
+++ b/src/caller_identity.cc
@@ -44,7 +44,7 @@
                                                              const Route& route,
                                                              const HeaderList& headers,
                                                              std::string_view api_key_header) {
-  if (table.workspaces().empty()) return nullptr;
+  if (!table.requires_api_keys()) return nullptr;
   auto is_key = [&](const auto& header) { return IsSameHeaderName(header.first, api_key_header); };
   auto key = std::find_if(headers.begin(), headers.end(), is_key);
   const Workspace* workspace =
--- a/src/caller_identity.h
+++ b/src/caller_identity.h
@@ -22,7 +22,7 @@
 std::string_view ToString(IdentityError error);
 
 // The workspace of a request for `route` with the given headers. Null if the request belongs to
-// none: the configuration has no workspaces, or the route is public and the request has no valid
+// none: the configuration requires no API keys, or the route is public and the request has no valid
 // key. Points into `table`.
 tl::expected<const Workspace*, IdentityError> IdentifyCaller(const ConfigTable& table,
                                                              const Route& route,
--- a/src/config_builder.cc
+++ b/src/config_builder.cc
@@ -121,7 +121,9 @@
 }
 
 tl::expected<ConfigTable, ConfigError> ConfigBuilder::Build(uint64_t version) const {
-  return ConfigTable::FromResources(version, m_resources);
+  auto table = ConfigTable::FromResources(version, m_resources);
+  if (table && m_requires_api_keys) table->RequireApiKeys();
+  return table;
 }
 
 }  // namespace guavatrail
--- a/src/config_builder.h
+++ b/src/config_builder.h
@@ -32,6 +32,8 @@
   // `route.label` may be any text. A rule that no request can match is left out, as is the later
   // one of two rules for the same requests.
   void AddRule(Route route, WorkKind work);
+  // Requests need an API key even if no workspace is added.
+  void RequireApiKeys() { m_requires_api_keys = true; }
   // Adds a workspace. Keys that no request can carry, and repeated ones, are left out.
   void AddWorkspace(Workspace workspace);
 
@@ -45,6 +47,7 @@
   WorkKind LimitWorkKind(WorkKind work, const std::string& subject);
   void AddNotice(std::string subject, std::string message);
 
+  bool m_requires_api_keys = false;
   std::vector<Resource> m_resources;
   std::set<std::string, std::less<>> m_services;
   std::set<std::string, std::less<>> m_work_kinds;
--- a/src/config_codec.cc
+++ b/src/config_codec.cc
@@ -133,6 +133,10 @@
   return resources;
 }
 
+pb::ApiKeyPolicy ToPolicy(bool requires_api_keys) {
+  return requires_api_keys ? pb::API_KEY_POLICY_REQUIRED : pb::API_KEY_POLICY_NOT_REQUIRED;
+}
+
 template <typename Message>
 bool Parse(std::string_view bytes, Message& message) {
   return bytes.size() <= INT32_MAX &&
@@ -195,6 +199,7 @@
   for (const Resource& resource : note.added) *out.add_added() = ToProto(resource);
   for (const Resource& resource : note.changed) *out.add_changed() = ToProto(resource);
   for (const ResourceRef& ref : note.withdrawn) *out.add_withdrawn() = ToProto(ref);
+  if (note.requires_api_keys) out.set_api_key_policy(ToPolicy(*note.requires_api_keys));
   return SerializeCanonical(out);
 }
 
@@ -208,7 +213,10 @@
 tl::expected<ReleaseNote, CodecError> DecodeChange(std::string_view bytes) {
   pb::ReleaseNote message;
   if (!Parse(bytes, message)) return Fail("release note: cannot parse the protobuf message");
-  ReleaseNote note{message.id(), message.author(), message.summary(), {}, {}, {}};
+  ReleaseNote note{.id = message.id(), .author = message.author(), .summary = message.summary()};
+  if (message.api_key_policy() != pb::API_KEY_POLICY_NOT_STATED) {
+    note.requires_api_keys = message.api_key_policy() == pb::API_KEY_POLICY_REQUIRED;
+  }
   auto added = FromProtoList(message.added());
   if (!added) return tl::make_unexpected(added.error());
   note.added = std::move(*added);
@@ -229,6 +237,7 @@
   pb::Table out;
   out.set_version(table.version());
   for (const Resource& resource : table.Resources()) *out.add_resources() = ToProto(resource);
+  if (table.workspaces().empty()) out.set_api_key_policy(ToPolicy(table.requires_api_keys()));
   if (const CallerLimits& limits = table.limits(); limits != CallerLimits()) {
     out.mutable_limits()->set_max_head_bytes(limits.max_head_bytes);
     out.mutable_limits()->set_max_body_bytes(limits.max_body_bytes);
@@ -245,6 +254,13 @@
   if (!resources) return tl::make_unexpected(resources.error());
   auto table = ConfigTable::FromResources(message.version(), *resources);
   if (!table) return Fail(table.error().message);
+  // Older builds did not state the policy: whether their callers need keys is not known, and a
+  // guess could admit requests without a key.
+  bool is_policy_known =
+      !table->workspaces().empty() || message.api_key_policy() != pb::API_KEY_POLICY_NOT_STATED;
+  if (!is_policy_known)
+    return Fail("table: has no workspaces and does not state whether requests need API keys");
+  if (message.api_key_policy() == pb::API_KEY_POLICY_REQUIRED) table->RequireApiKeys();
   const pb::CallerLimits& limits = message.limits();
   table->SetLimits({limits.max_head_bytes(), limits.max_body_bytes(), limits.read_timeout_ms(),
                     limits.idle_timeout_ms()});
--- a/src/config_store.cc
+++ b/src/config_store.cc
@@ -111,8 +111,14 @@
     ReadSnapshot(client, head.snapshot, [self = shared_from_this()](auto bytes) {
       if (!bytes) return self->handler(tl::make_unexpected(bytes.error()));
       auto decoded = DecodeTable(*bytes);
-      if (!decoded) return self->handler(Fail(StoreError::Code::kCorrupt, decoded.error().message));
-      self->updates.base = std::make_shared<const ConfigTable>(std::move(*decoded));
+      if (decoded) {
+        self->updates.base = std::make_shared<const ConfigTable>(std::move(*decoded));
+      } else {
+        // The snapshot of another build may lack what this one needs to know. The notes have it
+        // all.
+        LOG(WARNING) << "event=snapshot_not_used version=" << self->head.snapshot.version
+                     << " error=\"" << decoded.error().message << "\"";
+      }
       self->ReadLog();
     });
   }
--- a/src/config_table.cc
+++ b/src/config_table.cc
@@ -212,6 +212,8 @@
       return MakeConfigError(Code::kNotFound, ref, "withdrawn, but does not exist");
     next.Erase(ref);
   }
+  next.m_requires_api_keys =
+      change.requires_api_keys.value_or(m_requires_api_keys || !next.m_workspaces.empty());
   if (auto valid = next.Validate(); !valid) return tl::make_unexpected(valid.error());
   return next;
 }
@@ -236,6 +238,8 @@
   compare(before.m_work_kinds, m_work_kinds, ResourceType::kWorkKind);
   compare(before.m_routes, m_routes, ResourceType::kRoute);
   compare(before.m_workspaces, m_workspaces, ResourceType::kWorkspace);
+  bool implied = before.m_requires_api_keys || !m_workspaces.empty();
+  if (m_requires_api_keys != implied) note.requires_api_keys = m_requires_api_keys;
   return note;
 }
 
@@ -260,6 +264,7 @@
     if (table.Contains(ref)) return MakeConfigError(Code::kDuplicate, ref, "listed more than once");
     table.Put(resource);
   }
+  table.m_requires_api_keys = !table.m_workspaces.empty();
   if (auto valid = table.Validate(); !valid) return tl::make_unexpected(valid.error());
   return table;
 }
--- a/src/config_table.h
+++ b/src/config_table.h
@@ -113,6 +113,9 @@
   std::vector<Resource> added;
   std::vector<Resource> changed;
   std::vector<ResourceRef> withdrawn;
+  // Sets ConfigTable::requires_api_keys. Without a value, adding a workspace sets it, and
+  // withdrawing workspaces leaves it set.
+  std::optional<bool> requires_api_keys;
   bool operator==(const ReleaseNote&) const = default;
 };
 
@@ -181,6 +184,11 @@
 
   const std::map<std::string, Workspace, std::less<>>& workspaces() const { return m_workspaces; }
 
+  // Whether requests need the API key of a workspace, unless their route is public. True with any
+  // workspace; without one, no request has such a key.
+  bool requires_api_keys() const { return m_requires_api_keys; }
+  void RequireApiKeys() { m_requires_api_keys = true; }
+
   const CallerLimits& limits() const { return m_limits; }
   void SetLimits(const CallerLimits& limits) { m_limits = limits; }
 
@@ -226,6 +234,7 @@
   void EraseWorkspace(const std::string& name);
 
   uint64_t m_version = 0;
+  bool m_requires_api_keys = false;
   CallerLimits m_limits;
   std::map<std::string, Service, std::less<>> m_services;
   std::map<std::string, WorkKind, std::less<>> m_work_kinds;
--- a/src/config_table_validation.cc
+++ b/src/config_table_validation.cc
@@ -256,7 +256,9 @@
                    " bytes, allowed are at most " + std::to_string(kMaxTextLength));
   }
   std::vector<ResourceRef> affected = AffectedResources(change);
-  if (affected.empty()) return invalid("the note adds, changes and withdraws nothing");
+  if (affected.empty() && !change.requires_api_keys) {
+    return invalid("the note adds, changes and withdraws nothing");
+  }
   auto twice = std::adjacent_find(affected.begin(), affected.end());
   if (twice != affected.end()) {
     return MakeConfigError(Code::kDuplicate, *twice, "named more than once in the note");
@@ -317,6 +319,11 @@
                              ResourceRef{ResourceType::kRoute, std::string(other->second)});
     }
   }
+  if (!m_requires_api_keys && !m_workspaces.empty()) {
+    return MakeConfigError(
+        Code::kInvalidValue, {ResourceType::kWorkspace, m_workspaces.begin()->first},
+        "requires_api_keys is false, allowed is true while there are workspaces");
+  }
   return ValidateKeys(m_workspaces);
 }
 
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -68,9 +68,9 @@
   uint64_t config_version = 0;  // Version in force when the call arrived.
   WorkTag work;
   WorkspaceTag workspace;
-  // Whether the configuration has workspaces, so that the headers of the caller that concern them
-  // are not forwarded.
-  bool has_workspaces = false;
+  // Whether the configuration requires API keys, so that the headers of the caller that concern
+  // keys and workspaces are not forwarded.
+  bool requires_api_keys = false;
   int64_t deadline_us = 0;  // Of the caller, at most timeout_us: until then the answer must begin.
   int64_t timeout_us = 0;   // Of the work kind: until then the answer must be complete.
   std::optional<OrderKey> key;
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -253,7 +253,7 @@
   call.objective_ms = kind.objective_ms;
   call.work = {kind.name, kind.importance, kind.is_short, mode};
   call.workspace = TagOf(terms.workspace);
-  call.has_workspaces = !terms.table.workspaces().empty();
+  call.requires_api_keys = terms.table.requires_api_keys();
   call.deadline_us = terms.deadline_us;
   call.timeout_us = call.downstream->arrival_us() + kind.deadline_ms * kUsPerMs;
   call.downstream->SetEndHandler([this, &call](bool written) { OnDownstreamEnd(call, written); });
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -94,6 +94,9 @@
     m_trials = &trials;
     m_claim_trial = std::move(claim);
   }
+  // From now on removes the headers of callers that concern keys and workspaces, also while the
+  // configuration requires no keys: callers may still send keys that were given to them before.
+  void RemoveIdentityHeaders() { m_removes_identity_headers = true; }
   // From now on refuses requests of workspaces above their quota as not run.
   void SetQuotas(QuotaEnforcer& quotas) { m_quotas = &quotas; }
   // From now on sends contained requests only to the nodes of their shard.
@@ -196,6 +199,7 @@
   QuotaEnforcer* m_quotas = nullptr;
   QuotaRefusals m_quota_refusals;
   LocalBodies* m_local_bodies = nullptr;
+  bool m_removes_identity_headers = false;
   bool m_draining = false;
   std::optional<int64_t> m_end_us;  // When the process ends, if it is stopping.
   std::function<void()> m_on_idle;
--- a/src/entry_proxy_attempts.cc
+++ b/src/entry_proxy_attempts.cc
@@ -121,7 +121,7 @@
 // Replaces what the caller sent: its API key is a secret between it and the mesh, and it may not
 // name a workspace.
 void EntryProxy::SetWorkspaceHeaders(const EntryCall& call, HeaderList& headers) const {
-  if (!call.has_workspaces) return;
+  if (!call.requires_api_keys && !m_removes_identity_headers) return;
   RemoveHeader(headers, m_protocol.api_key_header);
   RemoveHeader(headers, m_protocol.workspace_header);
   if (call.workspace.name.empty()) return;
--- a/src/operator_queries.cc
+++ b/src/operator_queries.cc
@@ -142,15 +142,15 @@
   }
   const ReleaseNote& note = stored->note;
   if (arguments.json) {
-    out.result << nlohmann::json{{"version", *version},
-                                 {"note", note.id},
-                                 {"author", note.author},
-                                 {"summary", note.summary},
-                                 {"added", ToJson(RefsOf(note.added))},
-                                 {"changed", ToJson(RefsOf(note.changed))},
-                                 {"withdrawn", ToJson(note.withdrawn)}}
-                      .dump(kJsonIndent)
-               << "\n";
+    nlohmann::json result = {{"version", *version},
+                             {"note", note.id},
+                             {"author", note.author},
+                             {"summary", note.summary},
+                             {"added", ToJson(RefsOf(note.added))},
+                             {"changed", ToJson(RefsOf(note.changed))},
+                             {"withdrawn", ToJson(note.withdrawn)}};
+    if (note.requires_api_keys) result["requires_api_keys"] = *note.requires_api_keys;
+    out.result << result.dump(kJsonIndent) << "\n";
     return ExitCode::kDone;
   }
   out.result << "version " << *version << "\nnote " << note.id << "\nauthor " << note.author
@@ -158,6 +158,9 @@
   PrintRefs("added", RefsOf(note.added), out.result);
   PrintRefs("changed", RefsOf(note.changed), out.result);
   PrintRefs("withdrawn", note.withdrawn, out.result);
+  if (note.requires_api_keys) {
+    out.result << "requires_api_keys " << (*note.requires_api_keys ? "true" : "false") << "\n";
+  }
   return ExitCode::kDone;
 }
 
--- a/src/release_note.cc
+++ b/src/release_note.cc
@@ -89,6 +89,13 @@
     out = *value;
   }
 
+  // Leaves `out` unchanged when the key is absent.
+  void OptionalFlag(std::string_view key, std::optional<bool>& out) {
+    bool value = false;
+    Flag(key, value, false);
+    if (m_table.contains(key)) out = value;
+  }
+
   // A rate or a burst. Leaves `out` unchanged when the key is absent.
   void QuotaValue(std::string_view key, double& out) {
     const toml::node* node = Get(key, false, kQuotaAllowed);
@@ -293,6 +300,7 @@
   reader.Text("id", note.id, kNameAllowed, IsConfigName);
   reader.Text("author", note.author, kTextAllowed, IsText);
   reader.Text("summary", note.summary, kTextAllowed, IsText);
+  reader.OptionalFlag("requires_api_keys", note.requires_api_keys);
   auto added = reader.Tables("add");
   auto changed = reader.Tables("change");
   auto withdrawn = reader.Tables("withdraw");
--- a/src/release_note.h
+++ b/src/release_note.h
@@ -16,7 +16,9 @@
 //
 // Services have name, owner and objective; work kinds have name, deadline_ms, idempotent,
 // importance, length ("short" or "long"), key ("required" or "per_request"), attempts and
-// objective_ms; routes have name, path_prefix, service, work, host and shares (service and weight).
+// objective_ms; routes have name, path_prefix, service, work, host, public and shares (service and
+// weight); workspaces have name, api_keys, importance, rate_per_s and burst. Once there has been a
+// workspace, requests need an API key; a note with requires_api_keys = false ends that.
 #pragma once
 
 #include <string>
