Rank requests with an unreadable workspace tag last

A serving node took a tag that it could not read for none, and requests without a workspace rank with the most important ones. Such a request now counts as one of an unknown workspace of the lowest importance.

WorkspaceTags.UnreadableTagDoesNotRankAsNone passes; WorkspaceTagIn, which it calls, is new.

--- a/src/caller_identity.cc
+++ b/src/caller_identity.cc
@@ -13,6 +13,7 @@
 
 constexpr std::string_view kImportance = ";importance=";
 constexpr std::string_view kWeight = ";weight=";
+constexpr char kUnknownWorkspace[] = "unknown";
 
 // Removes `name` and the number that follows from the start of `text`; a negative value if there is
 // no such number.
@@ -82,4 +83,12 @@
   return {std::move(name), static_cast<int>(importance), static_cast<double>(weight)};
 }
 
+WorkspaceTag WorkspaceTagIn(const HeaderList& headers) {
+  const std::string* text = FindHeader(headers, kWorkspaceHeader);
+  if (text == nullptr) return {};
+  WorkspaceTag tag = ParseWorkspaceTag(*text);
+  if (tag.name.empty()) tag.name = kUnknownWorkspace;
+  return tag;
+}
+
 }  // namespace guavatrail
--- a/src/caller_identity.h
+++ b/src/caller_identity.h
@@ -45,5 +45,8 @@
 std::string FormatWorkspaceTag(const WorkspaceTag& tag);
 // A tag with an empty name if the text is not of that form.
 WorkspaceTag ParseWorkspaceTag(std::string_view text);
+// The tag of a request from an entry node; one with an empty name if the request belongs to no
+// workspace. A tag that cannot be read is that of an unknown workspace of the lowest importance.
+WorkspaceTag WorkspaceTagIn(const HeaderList& headers);
 
 }  // namespace guavatrail
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -44,7 +44,7 @@
 // The part of a request that determines whether it may overlap with others.
 struct RequestTarget {
   evhttp_cmd_type method = EVHTTP_REQ_GET;
-  std::string_view path;  // Without the query.
+  std::string_view path;       // Without the query.
   std::string_view authority;  // See DownstreamRequest::authority().
 };
 
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -35,10 +35,6 @@
   return work ? *work : *ParseWorkTag(kDefaultWork);
 }
 
-WorkspaceTag WorkspaceOf(const DownstreamRequest& request) {
-  return ParseWorkspaceTag(HeaderValue(request.headers(), kWorkspaceHeader));
-}
-
 int64_t DeadlineOf(const DownstreamRequest& request) {
   int64_t default_us = request.arrival_us() + kDefaultDeadlineMs * kUsPerMs;
   return DeadlineFromHeader(request, kDeadlineHeader).value_or(default_us);
@@ -158,7 +154,7 @@
     Refuse(call, *wait_ms, is_offer ? kReasonBusy : kReasonOverload);
     return;
   }
-  call.workspace = WorkspaceOf(*call.downstream);
+  call.workspace = WorkspaceTagIn(call.downstream->headers());
   AdmissionDecision decision = Arrive(m_admission,
                                       {.id = id,
                                        .importance = work.importance,
--- a/test/correctness/api_key_identifies_workspace_test.cc
+++ b/test/correctness/api_key_identifies_workspace_test.cc
@@ -130,5 +130,17 @@
   }
 }
 
+// Requests without a tag rank with the most important workspaces.
+TEST(WorkspaceTags, UnreadableTagDoesNotRankAsNone) {
+  EXPECT_EQ(WorkspaceTagIn({}), WorkspaceTag{});
+  EXPECT_EQ(WorkspaceTagIn({{kWorkspaceHeader, "loja;importance=2;weight=5"}}),
+            (WorkspaceTag{"loja", 2, 5}));
+  for (const char* text : {"", "loja", "a b;importance=1;weight=1", ";importance=3;weight=1"}) {
+    WorkspaceTag tag = WorkspaceTagIn({{kWorkspaceHeader, text}});
+    EXPECT_FALSE(tag.name.empty()) << text;
+    EXPECT_EQ(tag.importance, 0) << text;
+  }
+}
+
 }  // namespace
 }  // namespace guavatrail
--- a/test/platform/authority_ports_test.cc
+++ b/test/platform/authority_ports_test.cc
@@ -13,6 +13,7 @@
 
 json ConfigFor(const std::vector<std::string>& authorities) {
   std::vector<json> hosts;
+  hosts.reserve(authorities.size());
   for (const std::string& authority : authorities) {
     hosts.push_back(MakeHost(authority, {MakeRule("r", "/parts/", ToService(authority))}));
   }
--- a/test/platform/config_versions_exploration_test.cc
+++ b/test/platform/config_versions_exploration_test.cc
@@ -25,15 +25,9 @@
 const std::vector<std::string> kHosts = {"Loja.example", "oficina.example", "x.example",
                                          "y.example"};
 const std::vector<std::string> kPrefixes = {"/", "/a/", "/a/b/", "/parts/", "/b?c/"};
-const std::vector<std::string> kLabels = {"",
-                                          "rule-0",
-                                          "rule-1",
-                                          "rule-2",
-                                          "rule-3",
-                                          "Busca",
-                                          std::string(300, 'n'),
-                                          "Pe\xc3\xa7"
-                                          "as"};
+const std::string kNonAsciiLabel = "Pe\u00e7as";
+const std::vector<std::string> kLabels = {
+    "", "rule-0", "rule-1", "rule-2", "rule-3", "Busca", std::string(300, 'n'), kNonAsciiLabel};
 const std::vector<std::string> kServices = {"catalogo", "orders_v2", "St. Anna"};
 const std::vector<json> kWeights = {0, 1, 10, 0.1, 0.9, 100.0, 5'000'000, 1e300};
 const std::vector<std::string> kTenants = {"loja", "St. Anna", "a;importance=3;weight=9"};
