--- a/src/config_builder.cc
+++ b/src/config_builder.cc
@@ -8,21 +8,32 @@
 
 namespace {
 
-// 128 bits of the digest: two rules do not get the same name by chance.
-constexpr size_t kRouteNameDigits = 32;
-constexpr size_t kMaxLabelPartLength = 60;
-static_assert(2 * kMaxLabelPartLength < kMaxLabelLength);
-
-// Part of a label, in which a space would end the value of a log line.
-std::string LogText(std::string_view text) {
-  std::string result(text.substr(0, kMaxLabelPartLength));
-  std::replace_if(
-      result.begin(), result.end(), [](char c) { return c <= ' ' || c > '~' || c == '"'; }, '_');
-  return result;
+// Short enough to be kept inside a std::string: a node holds several tables of many routes. Two
+// rules do not get the same name by chance, since 15 digits to the base 36 hold 77 bits.
+constexpr size_t kRouteNameLength = 15;
+constexpr std::string_view kDigits = "0123456789abcdefghijklmnopqrstuvwxyz";
+constexpr size_t kHexDigitsPerNumber = 16;
+constexpr int kHexBase = 16;
+
+// The digits of `hex`, in two numbers of 64 bits, to the base 36.
+std::string ShortDigest(const std::string& hex) {
+  std::string digits;
+  for (size_t start = 0; digits.size() < kRouteNameLength; start += kHexDigitsPerNumber) {
+    uint64_t number = std::stoull(hex.substr(start, kHexDigitsPerNumber), nullptr, kHexBase);
+    for (; number > 0 && digits.size() < kRouteNameLength; number /= kDigits.size()) {
+      digits.push_back(kDigits[number % kDigits.size()]);
+    }
+  }
+  return digits;
 }
 
-// Rules of several hosts may have the same name.
-std::string LabelOf(const Route& route) { return LogText(route.label) + "@" + LogText(route.host); }
+// A label is written to logs, where a space would end the value.
+std::string LabelOf(std::string_view text) {
+  std::string label(text.substr(0, kMaxLabelLength));
+  std::replace_if(
+      label.begin(), label.end(), [](char c) { return c <= ' ' || c > '~' || c == '"'; }, '_');
+  return label;
+}
 
 }  // namespace
 
@@ -34,7 +45,7 @@
   std::string identity(host);
   identity.push_back('\0');
   identity.append(path_prefix);
-  return "rule-" + DigestOf(identity).substr(0, kRouteNameDigits);
+  return ShortDigest(DigestOf(identity));
 }
 
 void ConfigBuilder::AddService(std::string_view name, std::string_view health_path) {
@@ -66,7 +77,7 @@
   for (const RouteShare& share : route.shares) AddService(share.service);
   if (!route.shares.empty()) route.service = route.shares.front().service;
   AddService(route.service);
-  route.label = LabelOf(route);
+  route.label = LabelOf(route.label);
   route.work = AddWorkKind(LimitWorkKind(std::move(work), subject));
   m_resources.emplace_back(std::move(route));
 }
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -8,6 +8,7 @@
 
 #include "deadline.h"
 #include "entry_call.h"
+#include "percent_encoding.h"
 #include "port_budget.h"
 #include "request_fingerprint.h"
 
@@ -34,6 +35,11 @@
   return is_keyed ? RunMode::kKeyed : RunMode::kOnce;
 }
 
+// Routes of several hosts may have the same label.
+std::string LogNameOf(const Route& route) {
+  return route.label.empty() ? route.name : route.label + "@" + PercentEncode(route.host);
+}
+
 std::string HexPrefix(std::string_view node, uint64_t random) {
   std::array<char, 20> hex{};
   std::snprintf(hex.data(), hex.size(), "%016" PRIx64, random);
@@ -246,7 +252,7 @@
   call.id = id;
   call.request_id = m_id_prefix + std::to_string(id);
   call.service = m_shares.Choose(terms.route, m_random);
-  call.route = terms.route.label.empty() ? terms.route.name : terms.route.label;
+  call.route = LogNameOf(terms.route);
   call.config_version = terms.table.version();
   call.is_trial = !terms.trial_fingerprint.empty();
   call.max_attempts = call.is_trial ? 1 : kind.attempts;
