--- a/src/config_builder.cc
+++ b/src/config_builder.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Short enough to be kept inside a std::string: a node holds several tables of many routes. Two
-// rules do not get the same name by chance, since 15 digits to the base 36 hold 77 bits.
+// Short enough to be kept inside a std::string: a node holds several tables of many routes. The
+// digits hold more than 70 bits, so that two rules do not get the same name by chance.
 constexpr size_t kRouteNameLength = 15;
 constexpr std::string_view kDigits = "0123456789abcdefghijklmnopqrstuvwxyz";
 constexpr size_t kHexDigitsPerNumber = 16;
