Give each case of CheckConfig a file of its own

The three cases wrote one file with a fixed name, and CTest runs them in processes side by side: one read what another was writing. The fault is the test's; no check is changed. Each case now has a TempFile.

--- a/test/platform/refused_config_test.cc
+++ b/test/platform/refused_config_test.cc
@@ -2,12 +2,12 @@
 // log line, a metric or an answer of the operator's command that says so.
 #include <gtest/gtest.h>
 
-#include <fstream>
 #include <sstream>
 
 #include "config_check.h"
 #include "config_reader.h"
 #include "config_spec.h"
+#include "temp_file.h"
 
 namespace guavatrail::platform {
 namespace {
@@ -66,10 +66,9 @@
 class CheckConfig : public testing::Test {
  protected:
   ExitCode Check(const std::string& text) {
-    std::string path = testing::TempDir() + "check_config.json";
-    std::ofstream(path, std::ios::binary) << text;
+    TempFile file(text);
     m_arguments.command = "check-config";
-    m_arguments.operands = {path};
+    m_arguments.operands = {file.path()};
     m_result.str("");
     m_error.str("");
     return RunCheckConfig(m_arguments, {m_result, m_error});
