--- a/test/platform/refused_config_test.cc
+++ b/test/platform/refused_config_test.cc
@@ -4,6 +4,7 @@
 
 #include <sstream>
 
+#include "captured_log.h"
 #include "config_check.h"
 #include "config_reader.h"
 #include "config_spec.h"
@@ -63,6 +64,25 @@
   EXPECT_TRUE(HasLine("config_notices 0"));
 }
 
+// A line feed in the text of the operator would begin a line that the node has not written, and a
+// quotation mark would end the value.
+TEST_F(ReadConfig, TextOfTheOperatorStaysWithinItsValue) {
+  constexpr char kText[] = "two\"\nevent=other";
+  json refused = SoundConfig();
+  refused["tenants"] = {{{"name", kText}, {"api-keys", {"k"}}}};
+  json with_notice = SoundConfig();
+  with_notice["listeners"][0]["ruleset"].push_back(
+      MakeRule("q", std::string("/b?") + kText, ToService("catalogo")));
+  CapturedLog log;
+  EXPECT_EQ(m_reader.Read(Stored(8, refused)), nullptr);
+  EXPECT_NE(m_reader.Read(Stored(9, with_notice)), nullptr);
+  ASSERT_EQ(log.lines().size(), 2U);
+  for (const std::string& line : log.lines()) {
+    EXPECT_EQ(line.find('\n'), std::string::npos) << line;
+    EXPECT_NE(line.find(R"(two\"\nevent=other)"), std::string::npos) << line;
+  }
+}
+
 class CheckConfig : public testing::Test {
  protected:
   ExitCode Check(const std::string& text) {
