Wait for whole answers in HeldAnswersBoundMemory

The test waited for the bytes of all bodies, without those of the heads, and could count the answers before the last one was whole (KNOWN-RED). It now waits until all answers are whole; the counts and bodies that it checks are the same.

--- a/test/correctness/held_answers_bound_memory_test.cc
+++ b/test/correctness/held_answers_bound_memory_test.cc
@@ -106,7 +106,8 @@
       m_loop,
       [&] {
         Step(0);
-        return client.received().size() > kRequests * kAnswerBytes;
+        return client.received().size() > kRequests * kAnswerBytes &&
+               AnswersIn(client.received()).size() == kRequests;
       },
       std::chrono::seconds(60)));
   EXPECT_LT(m_largest, kBound);
