--- a/src/member_table.cc
+++ b/src/member_table.cc
@@ -15,19 +15,12 @@
 constexpr uint64_t kBucketDomain = 2;
 constexpr uint64_t kRecordDomain = 3;
 
-constexpr size_t kMaxNameLength = 63;
 constexpr uint32_t kMaxPort = 65535;
 constexpr uint32_t kMaxSlots = 4096;
 // Leaves room for refutations, which raise an accepted incarnation further.
 constexpr uint64_t kMaxIncarnation = uint64_t{1} << 62;
 constexpr int64_t kMsPerSecond = 1000;
 
-bool IsName(std::string_view text) {
-  auto ok = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-'; };
-  return !text.empty() && text.size() <= kMaxNameLength &&
-         std::all_of(text.begin(), text.end(), ok);
-}
-
 bool IsIp(const std::string& text) {
   in_addr address{};
   return inet_pton(AF_INET, text.c_str(), &address) == 1;
@@ -71,8 +64,9 @@
 }
 
 bool IsValidRecord(const pb::MemberRecord& record) {
-  bool names = IsName(record.name()) && IsHeaderName(record.service()) && IsName(record.region()) &&
-               IsName(record.data_centre()) && IsIp(record.ip());
+  bool names = IsConfigName(record.name()) && IsHeaderName(record.service()) &&
+               IsConfigName(record.region()) && IsConfigName(record.data_centre()) &&
+               IsIp(record.ip());
   bool ports = std::max({record.caller_port(), record.peer_port(), record.control_port(),
                          record.admin_port()}) <= kMaxPort;
   return names && ports && record.control_port() != 0 && record.slots() <= kMaxSlots &&
--- a/test/correctness/api_key_policy_travels_test.cc
+++ b/test/correctness/api_key_policy_travels_test.cc
@@ -109,12 +109,7 @@
   relay.SetTable(std::make_shared<const ConfigTable>(WithWorkspace(7)));
   relay.OnPlatformConfirmation();
   relay.Start();
-  std::vector<Endpoint> endpoints(2);
-  endpoints[0] = {.node = "node-1", .data_centre = "braga", .link_mbps = 7};
-  endpoints[1] = {.node = "node-2", .data_centre = "braga", .ip = "127.0.0.1"};
-  endpoints[1].link_mbps = 140;
-  endpoints[1].peer_port = source.port();
-  relay.SetEndpoints(std::make_shared<const EndpointList>(std::move(endpoints)));
+  relay.SetEndpoints(MakeSourceEndpoints(source.port()));
   EXPECT_TRUE(RunUntil(loop, [&] { return watches_platform; }));
   EXPECT_FALSE(has_adopted);
 }
--- a/test/correctness/config_relay_late_answer_test.cc
+++ b/test/correctness/config_relay_late_answer_test.cc
@@ -36,12 +36,7 @@
     m_relay.SetTable(MakeTable(1));
     m_relay.OnPlatformConfirmation();
     m_relay.Start();
-    std::vector<Endpoint> endpoints(2);
-    endpoints[0] = {.node = "node-1", .data_centre = "braga", .link_mbps = 7};
-    endpoints[1] = {.node = "node-2", .data_centre = "braga", .ip = "127.0.0.1"};
-    endpoints[1].link_mbps = 140;
-    endpoints[1].peer_port = m_watcher.port();
-    m_relay.SetEndpoints(std::make_shared<const EndpointList>(std::move(endpoints)));
+    m_relay.SetEndpoints(MakeSourceEndpoints(m_watcher.port()));
   }
 
   void AnswerLater(int connection) {
