Say that a node serves only once it has joined the mesh

A restarted node on the own object API puts its stored version in force before it has joined the members. It now says "starting" until the member table of another node has arrived and the endpoints are built, or for 3 s, after which the node counts as the only one of its mesh. The platform composition has its own readiness and is not concerned.

--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -19,6 +19,8 @@
 constexpr size_t kMaxRecordsPerUpdate = 100;
 // Under many changes, the overlay and the endpoint list are rebuilt only once in this time.
 constexpr int64_t kRefreshDelayMs = 20;
+// A node that has not joined after this time counts as the only one of its mesh.
+constexpr int64_t kJoinWaitMs = 3000;
 // Longest wait for the neighbours to acknowledge a leave.
 constexpr int64_t kLeaveMs = 500;
 // The connection to a peer is replaced when a request to it is unanswered for this long. Heartbeats
@@ -123,6 +125,7 @@
       m_update_timer(loop, [this] { SendMemberUpdates(); }),
       m_refresh_timer(loop, [this] { RefreshOverlay(); }),
       m_open_timer(loop, [this] { OpenDueConnections(); }),
+      m_join_timer(loop, [this] { m_knows_members = true; }),
       m_leave_timer(loop, [this] {
         // The handler may destroy this object.
         std::function<void()> left = std::move(m_on_left);
@@ -147,6 +150,7 @@
   RefreshOverlay();
   m_delivery.Start();
   m_joiner.Start();
+  m_join_timer.Start(milliseconds(kJoinWaitMs));
   // Random phases keep nodes that start together from sending heartbeats at the same time.
   m_heartbeat_timer.Start(
       milliseconds(m_random.Below(static_cast<uint64_t>(m_settings.membership.heartbeat_ms))));
@@ -339,6 +343,7 @@
   RefreshConnections();
   RefreshMonitored();
   RefreshEndpoints();
+  if (m_joiner.HasJoined() && m_overlay.size() > 1) m_knows_members = true;
   m_delivery.OnMembershipChanged();
 }
 
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -66,6 +66,8 @@
   // refutations.
   uint64_t incarnation() const { return m_table.self().started_ms(); }
   bool IsInConflict() const { return m_table.IsInConflict(); }
+  // Whether the endpoints of the mesh are known. Stays true once it is.
+  bool KnowsMembers() const { return m_knows_members; }
   const DeliveryAgent& delivery() const { return m_delivery; }
 
  private:
@@ -153,6 +155,7 @@
   uint64_t m_sequence = 0;         // Sequence number of the last heartbeat.
   int64_t m_last_exchange_ms = 0;  // Time of the last exchange of member digests.
   int64_t m_next_probe_ms = 0;     // Next probe of the other holder of the name, while in conflict.
+  bool m_knows_members = false;
   bool m_is_leaving = false;
   std::function<void()> m_on_left;
   std::set<std::string, std::less<>> m_unacknowledged;  // Neighbours yet to confirm the leave.
@@ -167,6 +170,7 @@
   Timer m_update_timer;
   Timer m_refresh_timer;
   Timer m_open_timer;
+  Timer m_join_timer;
   Timer m_leave_timer;
 };
 
--- a/src/node.cc
+++ b/src/node.cc
@@ -126,7 +126,9 @@
 nlohmann::json Node::Impl::Status() const {
   uint64_t version = control.delivery().version();
   std::string_view state = "serving";
-  if (version == 0 || control.IsInConflict()) state = "starting";
+  // Without the members, calls are refused: a stored version may be in force before the node joins.
+  bool can_serve = version != 0 && control.KnowsMembers() && !control.IsInConflict();
+  if (!can_serve) state = "starting";
   if (is_draining) state = is_idle ? "drained" : "draining";
   return {{"name", settings.node.name},
           {"incarnation", control.incarnation()},
