Let the server of caller_load_test queue more connections

Not the load as such: 105 runs beside 24 busy processes passed. The server of the test queues 5 connections. When its process is paused while the tool opens a connection every 20 ms, the kernel drops the others, and they are tried again after 1 s, later than the 0.7 s that a call waits.

The tool and all checks are unchanged.

--- a/test/correctness/caller_load_test.py
+++ b/test/correctness/caller_load_test.py
@@ -73,11 +73,17 @@
         self.answer(200, b"done")
 
 
+class HttpServer(http.server.ThreadingHTTPServer):
+    # With the default of 5, a pause of this process for 0.25 s drops connections of the tool, which
+    # are tried again only after 1 s.
+    request_queue_size = 128
+
+
 class CallerLoadTest(unittest.TestCase):
 
     @classmethod
     def setUpClass(cls):
-        cls.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Server)
+        cls.server = HttpServer(("127.0.0.1", 0), Server)
         cls.port = cls.server.server_address[1]
         threading.Thread(target=cls.server.serve_forever, daemon=True).start()
 
