--- a/src/control_plane_messages.cc
+++ b/src/control_plane_messages.cc
@@ -160,7 +160,7 @@
   }
   const pb::MemberRecord* sender = m_table.Find(from);
   if (sender != nullptr) {
-    std::string address = sender->ip() + ":" + std::to_string(sender->control_port());
+    std::string address = ControlAddressOf(*sender);
     if (m_contacts.erase(address) != 0) m_transport.Disconnect(address);
   }
   if (is_first) {
--- a/src/member_table.cc
+++ b/src/member_table.cc
@@ -63,6 +63,10 @@
          a.draining() == b.draining();
 }
 
+std::string ControlAddressOf(const pb::MemberRecord& record) {
+  return record.ip() + ":" + std::to_string(record.control_port());
+}
+
 bool IsValidRecord(const pb::MemberRecord& record) {
   bool names = IsConfigName(record.name()) && IsHeaderName(record.service()) &&
                IsConfigName(record.region()) && IsConfigName(record.data_centre()) &&
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -37,6 +37,8 @@
 bool IsLive(const pb::MemberRecord& record);
 // Equal in the fields that are flooded: incarnation, state and draining flag.
 bool HasSameState(const pb::MemberRecord& a, const pb::MemberRecord& b);
+// The address, "IP:PORT", at which the member takes control messages.
+std::string ControlAddressOf(const pb::MemberRecord& record);
 // Whether names, address, ports and numbers are within their limits.
 bool IsValidRecord(const pb::MemberRecord& record);
 
