Stop a request that crashes servers with a new cookie each time

A request now has the fingerprint of its family too: method, host, path, workspace, Authorization and body. It is suspected like a request, but quarantined only if a copy that began after a crash was known crashed a server too, cleared by an answer to any of its requests, and not blamed while one request explains as many crashes. A crash on a trial ends the trials of both.

--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -29,8 +29,9 @@
   auto it = m_entries.find(fingerprint);
   if (it == m_entries.end()) {
     if (m_entries.size() >= kMaxSuspects) ForgetLeastSuspected();
-    it = m_entries.emplace(std::string(fingerprint), Entry{.forget_us = now_us + kSuspicionUs})
-             .first;
+    Entry entry{.is_family = fingerprint.starts_with(kFamilyPrefix),
+                .forget_us = now_us + kSuspicionUs};
+    it = m_entries.emplace(std::string(fingerprint), std::move(entry)).first;
   }
   return it->second;
 }
@@ -51,14 +52,28 @@
   auto at = std::lower_bound(crashes.begin(), crashes.end(), lifetime);
   if (at != crashes.end() && *at == lifetime) return false;
   if (crashes.size() >= kMaxCrashes) return false;
+  if (crashes.empty()) entry.known_us = now_us;
   crashes.insert(at, std::string(lifetime));
   entry.forget_us = now_us + kSuspicionUs;
-  if (crashes.size() < kCrashesToQuarantine) return true;
-  size_t doublings = crashes.size() - kCrashesToQuarantine;
-  SetQuarantineEnd(entry, now_us + std::min(kMaxQuarantineUs, kQuarantineUs << doublings), now_us);
+  QuarantineIfDue(entry, now_us);
   return true;
 }
 
+void CrashBlame::QuarantineIfDue(Entry& entry, int64_t now_us) {
+  if (entry.crashes.size() < kCrashesToQuarantine) return;
+  if (entry.is_family && !entry.crashed_again) return;
+  size_t doublings = entry.crashes.size() - kCrashesToQuarantine;
+  SetQuarantineEnd(entry, now_us + std::min(kMaxQuarantineUs, kQuarantineUs << doublings), now_us);
+}
+
+// Servers that crash together for another reason do so while they run copies that began before any
+// crash was known. Once they are back, a sound request is answered.
+void CrashBlame::SetCrashedAgain(Entry& entry, int64_t now_us) {
+  if (entry.crashed_again) return;
+  entry.crashed_again = true;
+  QuarantineIfDue(entry, now_us);
+}
+
 void CrashBlame::SetQuarantineEnd(Entry& entry, int64_t end_us, int64_t now_us) {
   if (entry.quarantine_end_us <= now_us) {
     entry.quarantine_start_us = now_us;
@@ -73,6 +88,7 @@
   entry.trials = 0;
   entry.next_trial_us = 0;
   entry.crashes.clear();
+  entry.crashed_again = false;
   entry.quarantine_end_us = 0;
   entry.cleared_until_us = now_us + kClearedUs;
   entry.forget_us = entry.cleared_until_us;
@@ -82,21 +98,57 @@
                                              std::span<const std::string> fingerprints,
                                              int64_t now_us) {
   Expire(now_us);
-  auto crashes_of = [&](std::string_view fingerprint) -> size_t {
-    auto it = m_entries.find(fingerprint);
-    return it == m_entries.end() ? 0 : it->second.crashes.size();
-  };
+  std::vector<std::string> blamed = MostSuspected(fingerprints, now_us);
+  AddCrashes(blamed, lifetime, now_us);
+  return blamed;
+}
+
+std::vector<std::string> CrashBlame::OnFamilyCrash(std::string_view lifetime,
+                                                   std::span<const RunningFamily> families,
+                                                   std::span<const std::string> blamed_requests,
+                                                   int64_t now_us) {
+  Expire(now_us);
+  std::vector<std::string> fingerprints;
+  fingerprints.reserve(families.size());
+  for (const RunningFamily& family : families) fingerprints.push_back(family.fingerprint);
+  std::vector<std::string> blamed = MostSuspected(fingerprints, now_us);
+  size_t family_crashes = blamed.empty() ? 0 : CrashesOf(blamed.front());
+  // Includes the present crash, unlike that of the families.
+  size_t request_crashes = blamed_requests.empty() ? 0 : CrashesOf(blamed_requests.front());
+  if (request_crashes > 1 && request_crashes > family_crashes) return {};
+  for (const RunningFamily& family : families) {
+    auto it = m_entries.find(family.fingerprint);
+    bool is_blamed = std::find(blamed.begin(), blamed.end(), family.fingerprint) != blamed.end();
+    if (!is_blamed || it == m_entries.end() || it->second.crashes.empty()) continue;
+    if (family.start_us > it->second.known_us) SetCrashedAgain(it->second, now_us);
+  }
+  AddCrashes(blamed, lifetime, now_us);
+  return blamed;
+}
+
+size_t CrashBlame::CrashesOf(std::string_view fingerprint) const {
+  auto it = m_entries.find(fingerprint);
+  return it == m_entries.end() ? 0 : it->second.crashes.size();
+}
+
+std::vector<std::string> CrashBlame::MostSuspected(std::span<const std::string> fingerprints,
+                                                   int64_t now_us) const {
   size_t most = 0;
   for (const std::string& fingerprint : fingerprints) {
-    most = std::max(most, crashes_of(fingerprint));
+    most = std::max(most, CrashesOf(fingerprint));
   }
   std::vector<std::string> blamed;
   for (const std::string& fingerprint : fingerprints) {
     auto it = m_entries.find(fingerprint);
     bool is_cleared = it != m_entries.end() && it->second.cleared_until_us > now_us;
-    if (is_cleared || crashes_of(fingerprint) < most) continue;
+    if (is_cleared || CrashesOf(fingerprint) < most) continue;
     blamed.push_back(fingerprint);
   }
+  return blamed;
+}
+
+void CrashBlame::AddCrashes(std::span<const std::string> blamed, std::string_view lifetime,
+                            int64_t now_us) {
   for (const std::string& fingerprint : blamed) {
     Entry& entry = EntryOf(fingerprint, now_us);
     // Only a trial runs in quarantine. A server that crashes on it does so alone, which leaves no
@@ -105,7 +157,6 @@
     AddCrash(entry, lifetime, now_us);
     if (is_trial) entry.trials = kMaxTrials;
   }
-  return blamed;
 }
 
 bool CrashBlame::OnAnswered(std::string_view fingerprint, int64_t now_us) {
@@ -152,6 +203,10 @@
   bool is_new = AddTrials(entry, suspect.trials, now_us);
   for (const std::string& lifetime : suspect.crashes) is_new |= AddCrash(entry, lifetime, now_us);
   int64_t left_us = std::min(suspect.quarantine_left_ms * kUsPerMs, kMaxQuarantineUs);
+  // The store does not say so of a family in quarantine.
+  bool has_crashed_again = entry.is_family && (suspect.crashed_again || left_us > 0);
+  is_new |= has_crashed_again && !entry.crashed_again;
+  if (has_crashed_again) SetCrashedAgain(entry, now_us);
   if (left_us > 0) SetQuarantineEnd(entry, now_us + left_us, now_us);
   return is_new || was_quarantined != (entry.quarantine_end_us > now_us);
 }
@@ -223,7 +278,8 @@
           .crashes = entry.crashes,
           .is_cleared = entry.cleared_until_us > now_us,
           .quarantine_left_ms = std::max<int64_t>(0, (entry.quarantine_end_us - now_us) / kUsPerMs),
-          .trials = entry.trials};
+          .trials = entry.trials,
+          .crashed_again = entry.is_family && entry.crashed_again};
 }
 
 std::vector<CrashSuspect> CrashBlame::Suspects(int64_t now_us) const {
--- a/src/crash_blame.h
+++ b/src/crash_blame.h
@@ -21,15 +21,30 @@
   bool is_cleared = false;
   int64_t quarantine_left_ms = 0;  // 0: not in quarantine.
   int trials = 0;                  // Trials of the quarantine that nodes have claimed.
+  // Of a family: a copy that began after a crash was known has crashed a server too.
+  bool crashed_again = false;
   bool operator==(const CrashSuspect&) const = default;
 };
 
+// The copies of one family that were running when a backend server crashed.
+struct RunningFamily {
+  std::string fingerprint;
+  int64_t start_us = 0;  // When the earliest of them began to run.
+};
+
 // A crash alone does not show which of the running requests caused it. The culprit is the one that
 // runs at crash after crash and is never answered. Servers that crash together for another reason
 // show the same picture, so a request in quarantine may run again in a few trials; one answer ends
 // the quarantine.
+//
+// A family is all requests that differ in cookie and query only; see request_fingerprint.h. It is
+// suspected like a request, so that a request that comes with another cookie each time is found
+// too. Since sound requests may belong to it, it is quarantined only if a copy that began after a
+// crash was known crashed a server too, and an answer to any of its requests clears it.
 class CrashBlame {
  public:
+  // The fingerprints of families, and only they, begin with this.
+  static constexpr std::string_view kFamilyPrefix = "family-";
   // Number of crashes after which a request is quarantined.
   static constexpr size_t kCrashesToQuarantine = 3;
   // Trials of a quarantine, over all nodes.
@@ -43,6 +58,12 @@
   // fingerprints. Returns the fingerprints that are blamed: those of the most earlier crashes.
   std::vector<std::string> OnCrash(std::string_view lifetime,
                                    std::span<const std::string> fingerprints, int64_t now_us);
+  // The same for the families of these requests, after OnCrash. None is blamed if a single request,
+  // one of `blamed_requests`, explains as many crashes.
+  std::vector<std::string> OnFamilyCrash(std::string_view lifetime,
+                                         std::span<const RunningFamily> families,
+                                         std::span<const std::string> blamed_requests,
+                                         int64_t now_us);
   // Records that a server has answered the request. Returns whether it was a suspect.
   bool OnAnswered(std::string_view fingerprint, int64_t now_us);
   // Records that a server has answered a trial of the request, of whose quarantine this node may
@@ -70,6 +91,9 @@
   // The time in ms after which a refused request should return: when a trial may have shown that it
   // crashes no server, or at the end of its quarantine; nullopt if it may run now.
   std::optional<int64_t> RetryAfterMs(std::string_view fingerprint, int64_t now_us) const;
+  bool IsQuarantined(std::string_view fingerprint, int64_t now_us) const {
+    return FindQuarantined(fingerprint, now_us) != nullptr;
+  }
   // Whether all nodes refuse the request, or did so until an answer cleared it.
   bool ConcernsAllNodes(std::string_view fingerprint, int64_t now_us) const;
   // All suspects, and one of them.
@@ -78,7 +102,10 @@
 
  private:
   struct Entry {
+    bool is_family = false;
     std::vector<std::string> crashes;  // Sorted.
+    int64_t known_us = 0;              // When this node learned of the first crash.
+    bool crashed_again = false;
     int64_t quarantine_start_us = 0;
     int64_t quarantine_end_us = 0;
     int trials = 0;
@@ -90,10 +117,17 @@
   using Entries = std::map<std::string, Entry, std::less<>>;
 
   static bool AddCrash(Entry& entry, std::string_view lifetime, int64_t now_us);
+  static void SetCrashedAgain(Entry& entry, int64_t now_us);
+  static void QuarantineIfDue(Entry& entry, int64_t now_us);
   static bool AddTrials(Entry& entry, int trials, int64_t now_us);
   static void SetQuarantineEnd(Entry& entry, int64_t end_us, int64_t now_us);
   static void Clear(Entry& entry, int64_t now_us);
   static CrashSuspect SuspectOf(const Entries::value_type& item, int64_t now_us);
+  size_t CrashesOf(std::string_view fingerprint) const;
+  // Of the fingerprints, those of the most crashes that are not cleared.
+  std::vector<std::string> MostSuspected(std::span<const std::string> fingerprints,
+                                         int64_t now_us) const;
+  void AddCrashes(std::span<const std::string> blamed, std::string_view lifetime, int64_t now_us);
   Entry& EntryOf(std::string_view fingerprint, int64_t now_us);
   // Null if the request is not in quarantine.
   const Entry* FindQuarantined(std::string_view fingerprint, int64_t now_us) const;
--- a/src/crash_detector.cc
+++ b/src/crash_detector.cc
@@ -3,7 +3,6 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <set>
 
 namespace guavatrail {
 
@@ -48,11 +47,9 @@
               << " still_running=" << still_running << " connection_refused=" << is_refused;
     return;
   }
-  std::set<std::string> fingerprints;
-  for (RunningRequest& request : running) fingerprints.insert(std::move(request.fingerprint));
   LOG(WARNING) << "event=server_crashed server=" << m_server.id
                << " started_ms=" << m_server.started_ms << " running=" << running.size();
-  m_handler(m_server, {fingerprints.begin(), fingerprints.end()});
+  m_handler(m_server, running);
 }
 
 }  // namespace guavatrail
--- a/src/crash_detector.h
+++ b/src/crash_detector.h
@@ -15,16 +15,19 @@
 
 struct RunningRequest {
   uint64_t id = 0;
+  int64_t start_us = 0;
   std::string fingerprint;
+  std::string family;     // Its family fingerprint.
+  bool is_trial = false;  // A trial of its quarantine.
 };
 
 // A server has crashed if a request breaks off, no other request goes on running, and nothing
 // listens at its address any more.
 class CrashDetector {
  public:
-  // The fingerprints, each once, of the requests that were running and have not been answered.
-  using Handler = std::function<void(const ServerLifetime& server,
-                                     const std::vector<std::string>& fingerprints)>;
+  // The requests that were running and have not been answered.
+  using Handler =
+      std::function<void(const ServerLifetime& server, const std::vector<RunningRequest>& running)>;
 
   CrashDetector(EventLoop& loop, std::string ip, uint16_t port,
                 std::function<bool(uint64_t id)> is_running, Handler handler);
--- a/src/entry_proxy.cc
+++ b/src/entry_proxy.cc
@@ -181,7 +181,7 @@
     return;
   }
   std::string trial_fingerprint;
-  if (IsQuarantined(request, trial_fingerprint)) return;
+  if (IsQuarantined(request, *workspace, trial_fingerprint)) return;
   if (IsAboveQuota(request, *workspace)) {
     if (!trial_fingerprint.empty()) m_trials->OnNotRun(trial_fingerprint, EventLoop::NowUs());
     return;
@@ -212,9 +212,9 @@
 // Refuses the request if it is in quarantine. Sets `trial_fingerprint` instead if it is to run as a
 // trial.
 bool EntryProxy::IsQuarantined(std::unique_ptr<DownstreamRequest>& request,
-                               std::string& trial_fingerprint) {
+                               const Workspace* workspace, std::string& trial_fingerprint) {
   if (m_blame == nullptr || m_blame->empty()) return false;
-  std::string fingerprint = FingerprintOf(*request);
+  std::string fingerprint = QuarantineFingerprintOf(*m_blame, *request, TagOf(workspace).name);
   auto retry_after_ms = m_blame->RetryAfterMs(fingerprint, EventLoop::NowUs());
   if (!retry_after_ms) return false;
   if (IsTrial(fingerprint)) {
--- a/src/entry_proxy.h
+++ b/src/entry_proxy.h
@@ -118,7 +118,8 @@
                      std::string_view reason, int64_t retry_after_ms = 0);
   void SetRetryAfterFor(HeaderList& headers, int64_t retry_after_ms) const;
   bool IsTrial(const std::string& fingerprint);
-  bool IsQuarantined(std::unique_ptr<DownstreamRequest>& request, std::string& trial_fingerprint);
+  bool IsQuarantined(std::unique_ptr<DownstreamRequest>& request, const Workspace* workspace,
+                     std::string& trial_fingerprint);
   void StartCall(std::unique_ptr<DownstreamRequest> request, const CallTerms& terms);
   bool IsAboveQuota(std::unique_ptr<DownstreamRequest>& request, const Workspace* workspace);
   void ReturnQuota(EntryCall& call);
--- a/src/request_fingerprint.cc
+++ b/src/request_fingerprint.cc
@@ -26,29 +26,56 @@
                             part.size());
 }
 
+void AddMethodAndHost(crypto_generichash_state& state, const DownstreamRequest& request) {
+  AddPart(state, std::to_string(request.method()));
+  AddPart(state, HostWithoutPort(request.authority()));
+}
+
+std::string HexDigest(crypto_generichash_state& state) {
+  std::array<unsigned char, kDigestBytes> digest{};
+  crypto_generichash_final(&state, digest.data(), digest.size());
+  std::array<char, 2 * kDigestBytes + 1> hex{};
+  sodium_bin2hex(hex.data(), hex.size(), digest.data(), digest.size());
+  return hex.data();
+}
+
 }  // namespace
 
 std::string FingerprintOf(const DownstreamRequest& request) {
   crypto_generichash_state state;
   crypto_generichash_init(&state, nullptr, 0, kDigestBytes);
-  AddPart(state, std::to_string(request.method()));
-  AddPart(state, HostWithoutPort(request.authority()));
+  AddMethodAndHost(state, request);
   AddPart(state, request.target());
   for (std::string_view name : kCredentialHeaders) {
     AddPart(state, HeaderValue(request.headers(), name));
   }
   AddPart(state, *request.body());
-  std::array<unsigned char, kDigestBytes> digest{};
-  crypto_generichash_final(&state, digest.data(), digest.size());
-  std::array<char, 2 * kDigestBytes + 1> hex{};
-  sodium_bin2hex(hex.data(), hex.size(), digest.data(), digest.size());
-  return hex.data();
+  return HexDigest(state);
+}
+
+std::string FamilyFingerprintOf(const DownstreamRequest& request, std::string_view workspace) {
+  crypto_generichash_state state;
+  crypto_generichash_init(&state, nullptr, 0, kDigestBytes);
+  AddMethodAndHost(state, request);
+  AddPart(state, request.path());
+  AddPart(state, workspace);
+  AddPart(state, HeaderValue(request.headers(), "Authorization"));
+  AddPart(state, *request.body());
+  return std::string(CrashBlame::kFamilyPrefix) + HexDigest(state);
+}
+
+std::string QuarantineFingerprintOf(const CrashBlame& blame, const DownstreamRequest& request,
+                                    std::string_view workspace) {
+  std::string family = FamilyFingerprintOf(request, workspace);
+  return blame.IsQuarantined(family, EventLoop::NowUs()) ? family : FingerprintOf(request);
 }
 
 std::optional<int64_t> QuarantineRetryAfterMs(const CrashBlame* blame,
-                                              const DownstreamRequest& request) {
+                                              const DownstreamRequest& request,
+                                              std::string_view workspace) {
   if (blame == nullptr || blame->empty()) return std::nullopt;
-  return blame->RetryAfterMs(FingerprintOf(request), EventLoop::NowUs());
+  return blame->RetryAfterMs(QuarantineFingerprintOf(*blame, request, workspace),
+                             EventLoop::NowUs());
 }
 
 }  // namespace guavatrail
--- a/src/serving_proxy.cc
+++ b/src/serving_proxy.cc
@@ -54,8 +54,8 @@
       m_crash_detector(
           loop, settings.server.ip, static_cast<uint16_t>(settings.server.port),
           [this](uint64_t id) { return IsRunning(id); },
-          [this](const ServerLifetime& server, const std::vector<std::string>& fingerprints) {
-            OnServerCrashed(server, fingerprints);
+          [this](const ServerLifetime& server, const std::vector<RunningRequest>& running) {
+            OnServerCrashed(server, running);
           }),
       m_orders(settings.node.name, incarnation),
       m_pool(loop, {.ip = settings.server.ip,
@@ -116,7 +116,8 @@
     RefuseRequest(std::move(request), m_gate.reason, kDrainRetryAfterMs);
   } else if (m_end_us && DeadlineOf(*request) > *m_end_us) {
     RefuseRequest(std::move(request), kReasonStopping, kDrainRetryAfterMs);
-  } else if (auto retry_after_ms = QuarantineRetryAfterMs(m_blame, *request);
+  } else if (auto retry_after_ms =
+                 QuarantineRetryAfterMs(m_blame, *request, WorkspaceTagIn(request->headers()).name);
              retry_after_ms && !IsTrial(*request)) {
     RefuseRequest(std::move(request), kReasonQuarantined, *retry_after_ms);
   } else if (IsContainedHere(*request)) {
--- a/src/serving_proxy.h
+++ b/src/serving_proxy.h
@@ -139,7 +139,7 @@
 
   void OnBrokenOff(const Call& call);
   bool IsRunning(uint64_t id) const;
-  void OnServerCrashed(const ServerLifetime& server, const std::vector<std::string>& fingerprints);
+  void OnServerCrashed(const ServerLifetime& server, const std::vector<RunningRequest>& running);
   void OnServerAnswer(const Call& call);
   bool IsContainedHere(const DownstreamRequest& request) const;
 
--- a/src/serving_proxy_exchange.cc
+++ b/src/serving_proxy_exchange.cc
@@ -30,7 +30,7 @@
 
 void ServingProxy::Run(Call& call) {
   // The request may have been quarantined while it was queued.
-  if (auto retry_after_ms = QuarantineRetryAfterMs(m_blame, *call.downstream);
+  if (auto retry_after_ms = QuarantineRetryAfterMs(m_blame, *call.downstream, call.workspace.name);
       retry_after_ms && !IsTrial(*call.downstream)) {
     Refuse(call, *retry_after_ms, kReasonQuarantined);
     Apply(Cancel(m_admission, call.id, EventLoop::NowUs()));
--- a/src/serving_proxy_failures.cc
+++ b/src/serving_proxy_failures.cc
@@ -3,12 +3,36 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 #include "request_fingerprint.h"
 #include "serving_call.h"
 
 namespace guavatrail {
 
+namespace {
+
+std::vector<std::string> FingerprintsOf(const std::vector<RunningRequest>& running) {
+  std::set<std::string> fingerprints;
+  for (const RunningRequest& request : running) fingerprints.insert(request.fingerprint);
+  return {fingerprints.begin(), fingerprints.end()};
+}
+
+std::vector<RunningFamily> FamiliesOf(const std::vector<RunningRequest>& running) {
+  std::map<std::string, int64_t> starts;
+  for (const RunningRequest& request : running) {
+    int64_t& start_us = starts.emplace(request.family, request.start_us).first->second;
+    start_us = std::min(start_us, request.start_us);
+  }
+  std::vector<RunningFamily> families;
+  families.reserve(starts.size());
+  for (const auto& [fingerprint, start_us] : starts) families.push_back({fingerprint, start_us});
+  return families;
+}
+
+}  // namespace
+
 void ServingProxy::SetCrashBlame(CrashBlame& blame, SuspectObserver on_change) {
   m_blame = &blame;
   m_on_suspects_changed = std::move(on_change);
@@ -62,7 +86,9 @@
   for (const auto& [id, other] : m_calls) {
     bool is_sent = other->exchange != nullptr && other->exchange->may_have_been_sent();
     if (other->phase != Call::Phase::kRunning || !is_sent || other->server != call.server) continue;
-    running.push_back({id, FingerprintOf(*other->downstream)});
+    running.push_back({id, other->start_us, FingerprintOf(*other->downstream),
+                       FamilyFingerprintOf(*other->downstream, other->workspace.name),
+                       IsTrial(*other->downstream)});
   }
   m_crash_detector.OnBrokenOff(call.server, std::move(running));
 }
@@ -81,7 +107,8 @@
 }
 
 void ServingProxy::OnServerCrashed(const ServerLifetime& server,
-                                   const std::vector<std::string>& fingerprints) {
+                                   const std::vector<RunningRequest>& running) {
+  std::vector<std::string> fingerprints = FingerprintsOf(running);
   std::string lifetime = std::to_string(server.started_ms) + "/" + server.id;
   if (m_containment != nullptr) {
     for (const std::string& fingerprint : fingerprints) {
@@ -89,9 +116,15 @@
     }
   }
   std::vector<std::string> blamed = m_blame->OnCrash(lifetime, fingerprints, EventLoop::NowUs());
-  // Earlier quarantines may be lost, and the request may have used up its trials then.
+  std::vector<std::string> families =
+      m_blame->OnFamilyCrash(lifetime, FamiliesOf(running), blamed, EventLoop::NowUs());
+  blamed.insert(blamed.end(), families.begin(), families.end());
+  // Earlier quarantines may be lost, and the request may have used up its trials then. A crash on a
+  // trial leaves no doubt, neither of the request nor of its family.
   bool is_containing = m_containment != nullptr && m_containment->IsActive(EventLoop::NowUs());
-  if (is_containing) m_blame->ForbidTrials(blamed);
+  bool has_trial = std::any_of(running.begin(), running.end(),
+                               [](const RunningRequest& request) { return request.is_trial; });
+  if (is_containing || has_trial) m_blame->ForbidTrials(blamed);
   LOG(WARNING) << "event=crash_blamed server=" << server.id << " running=" << fingerprints.size()
                << " blamed=" << blamed.size() << " suspects=" << m_blame->size();
   m_metrics.GetCounter("server_crashes_total").Add();
@@ -109,13 +142,16 @@
   }
   bool is_trial = IsTrial(*call.downstream);
   if (m_blame == nullptr || (m_blame->empty() && !is_trial)) return;
-  std::string fingerprint = FingerprintOf(*call.downstream);
   int64_t now_us = EventLoop::NowUs();
-  if (is_trial) {
-    m_blame->OnTrialAnswered(fingerprint, now_us);
-    m_on_suspects_changed({fingerprint});
-  } else if (m_blame->OnAnswered(fingerprint, now_us)) {
-    m_on_suspects_changed({fingerprint});
+  for (const std::string& fingerprint :
+       {FingerprintOf(*call.downstream),
+        FamilyFingerprintOf(*call.downstream, call.workspace.name)}) {
+    if (is_trial) {
+      m_blame->OnTrialAnswered(fingerprint, now_us);
+      m_on_suspects_changed({fingerprint});
+    } else if (m_blame->OnAnswered(fingerprint, now_us)) {
+      m_on_suspects_changed({fingerprint});
+    }
   }
 }
 
--- a/src/suspect_codec.cc
+++ b/src/suspect_codec.cc
@@ -32,6 +32,7 @@
     entry.set_is_cleared(suspect.is_cleared);
     entry.set_quarantine_left_ms(suspect.quarantine_left_ms);
     entry.set_trials(suspect.trials);
+    entry.set_crashed_again(suspect.crashed_again);
   }
   return SerializeCanonical(out);
 }
@@ -52,7 +53,8 @@
                                 .crashes = {entry.crashes().begin(), entry.crashes().end()},
                                 .is_cleared = entry.is_cleared(),
                                 .quarantine_left_ms = entry.quarantine_left_ms(),
-                                .trials = entry.trials()});
+                                .trials = entry.trials(),
+                                .crashed_again = entry.crashed_again()});
   }
   return decoded;
 }
--- a/test/correctness/crash_blame_test.cc
+++ b/test/correctness/crash_blame_test.cc
@@ -105,6 +105,83 @@
   EXPECT_TRUE(other.Merge(m_blame.Suspects(m_now_us), m_now_us).empty());
 }
 
+class FamilyBlame : public CrashBlameTest {
+ protected:
+  // A server crashes while it runs a copy of the family that began this long ago.
+  void CrashFamily(int64_t age_us) {
+    std::vector<RunningFamily> running = {{kFamily, m_now_us - age_us}};
+    m_blame.OnFamilyCrash("server-" + std::to_string(++m_crashes), running, {}, m_now_us);
+  }
+  void CrashTogether(int servers) {
+    for (int i = 0; i < servers; ++i) CrashFamily(kUsPerS);
+  }
+
+  const std::string kFamily = std::string(CrashBlame::kFamilyPrefix) + "a";
+};
+
+TEST_F(FamilyBlame, IsQuarantinedAtTheThirdCrashOfCopiesThatBeganLater) {
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_FALSE(IsQuarantined(kFamily));
+    m_now_us += kUsPerS;
+    CrashFamily(kUsPerS / 10);
+  }
+  EXPECT_TRUE(IsQuarantined(kFamily));
+}
+
+// Its requests ran when servers crashed together for another reason.
+TEST_F(FamilyBlame, OneCommonCrashIsNotEnough) {
+  CrashTogether(12);
+  EXPECT_FALSE(IsQuarantined(kFamily));
+  m_now_us += 5 * kUsPerS;
+  CrashFamily(kUsPerS);
+  EXPECT_TRUE(IsQuarantined(kFamily));
+}
+
+TEST_F(FamilyBlame, AnswerToOneOfItsRequestsClearsIt) {
+  CrashTogether(2);
+  m_now_us += kUsPerS;
+  EXPECT_TRUE(m_blame.OnAnswered(kFamily, m_now_us));
+  for (int i = 0; i < 3; ++i) {
+    m_now_us += kUsPerS;
+    CrashFamily(kUsPerS / 10);
+  }
+  EXPECT_FALSE(IsQuarantined(kFamily));
+}
+
+// Copies that do not change are found by their own fingerprint. Others of the family stay served.
+TEST_F(FamilyBlame, RequestThatExplainsAsManyCrashesIsBlamedInstead) {
+  for (int i = 0; i < 5; ++i) {
+    m_now_us += kUsPerS;
+    Fingerprints blamed = Crash({"poison"});
+    std::vector<RunningFamily> running = {{kFamily, m_now_us - kUsPerS / 10}};
+    m_blame.OnFamilyCrash("server-" + std::to_string(m_crashes), running, blamed, m_now_us);
+  }
+  EXPECT_TRUE(IsQuarantined("poison"));
+  EXPECT_FALSE(IsQuarantined(kFamily));
+}
+
+// One node knows of the three crashes and another one that the last copy began later.
+TEST_F(FamilyBlame, NodesFindTheQuarantineTogether) {
+  CrashTogether(3);
+  CrashBlame other;
+  std::vector<RunningFamily> first = {{kFamily, m_now_us}};
+  std::vector<RunningFamily> second = {{kFamily, m_now_us + kUsPerS}};
+  other.OnFamilyCrash("other-1", first, {}, m_now_us);
+  other.OnFamilyCrash("other-2", second, {}, m_now_us + 2 * kUsPerS);
+  EXPECT_FALSE(other.IsQuarantined(kFamily, m_now_us));
+  m_blame.Merge(other.Suspects(m_now_us), m_now_us);
+  EXPECT_TRUE(IsQuarantined(kFamily));
+  other.Merge(m_blame.Suspects(m_now_us), m_now_us);
+  EXPECT_TRUE(other.IsQuarantined(kFamily, m_now_us));
+}
+
+TEST_F(FamilyBlame, StoredQuarantineIsTaken) {
+  CrashSuspect stored{
+      .fingerprint = kFamily, .crashes = {"1", "2", "3"}, .quarantine_left_ms = 100};
+  m_blame.Merge(std::vector<CrashSuspect>{stored}, m_now_us);
+  EXPECT_TRUE(IsQuarantined(kFamily));
+}
+
 // Nodes that see crashes and answers, some of them cut off for a time, and exchange what they know
 // in random order: each request that is never answered is in quarantine on all nodes in the end,
 // and no request that was answered is.
