Check the ranges of integers of a configuration in one place

Cause: five checks of config_table_validation.cc compared an integer with its range and put the same message together. Change: ValidateRange serves all five, with the same messages; a condition in CrashBlame::SuspectOf that the setters of crashed_again already guarantee is gone. No change of behaviour.

--- a/src/config_table_validation.cc
+++ b/src/config_table_validation.cc
@@ -23,6 +23,14 @@
 // Weights count relative to each other only, so that their size is not limited.
 bool IsWeight(double weight) { return std::isfinite(weight) && weight >= 0; }
 
+tl::expected<void, ConfigError> ValidateRange(const ResourceRef& ref, const std::string& field,
+                                              int64_t value, int64_t min, int64_t max) {
+  if (value >= min && value <= max) return {};
+  return MakeConfigError(Code::kInvalidValue, ref,
+                         field + " is " + std::to_string(value) + ", allowed is an integer from " +
+                             std::to_string(min) + " to " + std::to_string(max));
+}
+
 tl::expected<void, ConfigError> ValidateValues(const Service& service) {
   ResourceRef ref{ResourceType::kService, service.name};
   if (!IsText(service.owner)) {
@@ -45,29 +53,14 @@
 
 tl::expected<void, ConfigError> ValidateValues(const WorkKind& work) {
   ResourceRef ref{ResourceType::kWorkKind, work.name};
-  if (work.deadline_ms < 1 || work.deadline_ms > kMaxDeadlineMs) {
-    return MakeConfigError(Code::kInvalidValue, ref,
-                           "deadline_ms is " + std::to_string(work.deadline_ms) +
-                               ", allowed is an integer from 1 to " +
-                               std::to_string(kMaxDeadlineMs));
-  }
-  if (work.importance < 0 || work.importance > kMaxImportance) {
-    return MakeConfigError(Code::kInvalidValue, ref,
-                           "importance is " + std::to_string(work.importance) +
-                               ", allowed is an integer from 0 to " +
-                               std::to_string(kMaxImportance));
-  }
-  if (work.attempts < 1 || work.attempts > kMaxAttempts) {
-    return MakeConfigError(Code::kInvalidValue, ref,
-                           "attempts is " + std::to_string(work.attempts) +
-                               ", allowed is an integer from 1 to " + std::to_string(kMaxAttempts));
-  }
-  if (work.objective_ms < 0 || work.objective_ms > kMaxDeadlineMs) {
-    return MakeConfigError(Code::kInvalidValue, ref,
-                           "objective_ms is " + std::to_string(work.objective_ms) +
-                               ", allowed is an integer from 0 to " +
-                               std::to_string(kMaxDeadlineMs));
-  }
+  if (auto valid = ValidateRange(ref, "deadline_ms", work.deadline_ms, 1, kMaxDeadlineMs); !valid)
+    return valid;
+  if (auto valid = ValidateRange(ref, "importance", work.importance, 0, kMaxImportance); !valid)
+    return valid;
+  if (auto valid = ValidateRange(ref, "attempts", work.attempts, 1, kMaxAttempts); !valid)
+    return valid;
+  if (auto valid = ValidateRange(ref, "objective_ms", work.objective_ms, 0, kMaxDeadlineMs); !valid)
+    return valid;
   return {};
 }
 
@@ -127,12 +120,9 @@
                                " bytes, allowed are 1 to " + std::to_string(kMaxTableKeyLength) +
                                " that a header can carry unchanged");
   }
-  if (workspace.importance < 0 || workspace.importance > kMaxImportance) {
-    return MakeConfigError(Code::kInvalidValue, ref,
-                           "importance is " + std::to_string(workspace.importance) +
-                               ", allowed is an integer from 0 to " +
-                               std::to_string(kMaxImportance));
-  }
+  if (auto valid = ValidateRange(ref, "importance", workspace.importance, 0, kMaxImportance);
+      !valid)
+    return valid;
   if (!IsQuotaValue(workspace.rate_per_s)) {
     return MakeConfigError(Code::kInvalidValue, ref,
                            "rate_per_s is " + std::to_string(workspace.rate_per_s) +
--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -279,7 +279,7 @@
           .is_cleared = entry.cleared_until_us > now_us,
           .quarantine_left_ms = std::max<int64_t>(0, (entry.quarantine_end_us - now_us) / kUsPerMs),
           .trials = entry.trials,
-          .crashed_again = entry.is_family && entry.crashed_again};
+          .crashed_again = entry.crashed_again};
 }
 
 std::vector<CrashSuspect> CrashBlame::Suspects(int64_t now_us) const {
